Keep a part of the members' connections free for daemons that start again

Ruled out: slow start (0.12 s), the store (rows in force 20 ms after the start). At a planned stop sessions are closed only after 60 ms of quiet.

--- a/crates/entry/src/control/task.rs
+++ b/crates/entry/src/control/task.rs
@@ -7,7 +7,7 @@
 use base::{FastMap, MemberId, Span, Time};
 use futures_channel::mpsc;
 use futures_util::StreamExt;
-use pool::MemberSpec;
+use pool::{MemberSpec, Shares};
 use succession::{Candidate, DaemonRecord, Grants, Opinion};
 use tokio::net::UdpSocket;
 
@@ -47,8 +47,6 @@
 const READY_WITHOUT_GRANT: Span = Span::from_millis(1_000);
 /// How long an own opinion of a primary counts.
 const OPINION_FOR: Span = Span::from_millis(500);
-/// Connections of each member that stay free for questions about its state.
-const KEPT_CONNECTIONS: u32 = 2;
 /// Silence after which a daemon is taken off the list; it enters itself again.
 const FORGET_DAEMON_AFTER: Span = Span::from_millis(15_000);
 /// Datagrams are far smaller.
@@ -323,12 +321,8 @@
         for group in &config.groups {
             let slots = self.members.values().filter(|member| member.entry.group == group.name);
             let slots = slots.map(|member| member.entry.slots).max().unwrap_or(1);
-            let connections = group.connections.saturating_sub(KEPT_CONNECTIONS) / daemons;
-            // Twice the slots in all keep a member busy with a short queue of its own,
-            // and one more lets an uneven share of callers through.
-            let at_once = (2 * slots).div_ceil(daemons) + 1;
-            let group = group.name.clone();
-            self.order(Order::Share { group, connections: connections.max(1), at_once });
+            let shares = Shares::new(group.connections, slots, daemons);
+            self.order(Order::Shares { group: group.name.clone(), shares });
         }
     }
 
--- a/crates/entry/src/data/context.rs
+++ b/crates/entry/src/data/context.rs
@@ -31,6 +31,8 @@
     pub(crate) names: RefCell<Names>,
     pub(crate) retries: RefCell<RetryBudget>,
     pub(crate) sessions: Cell<usize>,
+    /// Done when no session is accepted any more.
+    pub(crate) accepting_ends: SharedFuture<oneshot::Receiver<()>>,
     /// Done when sessions without a transaction should end.
     pub(crate) sessions_end: SharedFuture<oneshot::Receiver<()>>,
     /// Done when transactions should end too.
@@ -41,6 +43,7 @@
 /// Senders that tell sessions to end, by being dropped.
 #[derive(Debug)]
 pub(crate) struct Ends {
+    pub(crate) accepting: oneshot::Sender<()>,
     pub(crate) sessions: oneshot::Sender<()>,
     pub(crate) all: oneshot::Sender<()>,
 }
@@ -51,6 +54,7 @@
         shared: Arc<Shared>,
         events: mpsc::UnboundedSender<Event>,
     ) -> (Context, Ends) {
+        let (accepting, accepting_ends) = oneshot::channel();
         let (sessions, sessions_end) = oneshot::channel();
         let (all, all_end) = oneshot::channel();
         let cx = Context {
@@ -62,11 +66,12 @@
             names: RefCell::default(),
             retries: RefCell::new(RetryBudget::new(RETRY_BURST)),
             sessions: Cell::new(0),
+            accepting_ends: accepting_ends.shared(),
             sessions_end: sessions_end.shared(),
             all_end: all_end.shared(),
             last_number: Cell::new(0),
         };
-        (cx, Ends { sessions, all })
+        (cx, Ends { accepting, sessions, all })
     }
 
     /// A number that nothing else in this run has.
--- a/crates/entry/src/data/group.rs
+++ b/crates/entry/src/data/group.rs
@@ -7,7 +7,7 @@
 use adapter::Code;
 use base::{FastMap, MemberId, Position, Span, Time};
 use futures_channel::oneshot;
-use pool::{Action, MemberSpec, Need, Pool, Request};
+use pool::{Action, MemberSpec, Need, Pool, Request, Shares};
 use succession::Opinion;
 
 use crate::{
@@ -82,8 +82,8 @@
         self.pump();
     }
 
-    pub(crate) fn set_share(self: &Rc<Group>, connections: u32, at_once: u32) {
-        self.state.borrow_mut().pool.set_share(connections, at_once);
+    pub(crate) fn set_shares(self: &Rc<Group>, shares: Shares) {
+        self.state.borrow_mut().pool.set_shares(shares);
         self.pump();
     }
 
@@ -184,7 +184,7 @@
             let mut state = self.state.borrow_mut();
             let number = conn.number;
             state.idle.insert(number, conn);
-            state.pool.idle(member, number, &mut out);
+            state.pool.idle(clock::now(), member, number, &mut out);
         }
         self.carry_out(out);
         self.pump();
--- a/crates/entry/src/data/session.rs
+++ b/crates/entry/src/data/session.rs
@@ -22,6 +22,8 @@
 /// How long a new session waits for the first configuration; callers give up after
 /// two seconds.
 const CONFIG_LIMIT: Duration = Duration::from_millis(1_500);
+/// How long a session must have been quiet before it is closed at a planned end.
+const LAST_QUIET: Duration = Duration::from_millis(60);
 const CONFIG_TICK: Duration = Duration::from_millis(50);
 
 /// A caller's session.
@@ -53,7 +55,7 @@
 
 /// Accepts callers until the process ends its sessions.
 pub(crate) async fn listen(cx: Rc<Context>, listener: TcpListener) {
-    let mut ended = cx.sessions_end.clone();
+    let mut ended = cx.accepting_ends.clone();
     loop {
         let accept = pin!(listener.accept());
         match future::select(accept, &mut ended).await {
@@ -138,7 +140,11 @@
                 let ended = self.cx.sessions_end.clone();
                 match future::select(pin!(self.conn.fill()), ended).await {
                     Either::Left((filled, _)) => filled?,
-                    Either::Right(_) => return Ok(None),
+                    // A request may be on its way; closing now would lose it.
+                    Either::Right((_, filled)) => match time::timeout(LAST_QUIET, filled).await {
+                        Ok(filled) => filled?,
+                        Err(_) => return Ok(None),
+                    },
                 }
             } else {
                 self.fill_in_transaction().await?;
--- a/crates/entry/src/data/task.rs
+++ b/crates/entry/src/data/task.rs
@@ -20,7 +20,10 @@
 const TICK: Duration = Duration::from_millis(20);
 /// How long after SIGTERM sessions are still accepted and kept: the platform needs
 /// two missed probes, a second apart, to send new ones elsewhere.
-const KEEP_SESSIONS: Span = Span::from_millis(2_300);
+const KEEP_SESSIONS: Span = Span::from_millis(2_500);
+/// Between the last accepted session and the end of idle ones, so that the last ones
+/// can say what they want.
+const LAST_REQUESTS: Span = Span::from_millis(150);
 /// Time left before the process is killed by which it has ended.
 const END_MARGIN: Span = Span::from_millis(400);
 
@@ -63,9 +66,7 @@
     match order {
         Order::Config(config) => *cx.config.borrow_mut() = Some(config),
         Order::Members { group, members } => cx.group(&group).set_members(members),
-        Order::Share { group, connections, at_once } => {
-            cx.group(&group).set_share(connections, at_once);
-        }
+        Order::Shares { group, shares } => cx.group(&group).set_shares(shares),
         Order::Lead { group, lead, planned, version } => {
             cx.group(&group).set_lead(lead, planned, version);
         }
@@ -89,6 +90,8 @@
     let half = Span::from_micros(grace.as_micros() / 2);
     let last = Span::from_micros(grace.as_micros().saturating_sub(END_MARGIN.as_micros()));
     sleep_until(began + KEEP_SESSIONS.min(half)).await;
+    drop(ends.accepting);
+    sleep_until(began + KEEP_SESSIONS.min(half) + LAST_REQUESTS).await;
     drop(ends.sessions);
     sleep_until(began + half).await;
     drop(ends.all);
--- a/crates/entry/src/messages.rs
+++ b/crates/entry/src/messages.rs
@@ -2,7 +2,7 @@
 
 use adapter::Config;
 use base::{MemberId, Span};
-use pool::MemberSpec;
+use pool::{MemberSpec, Shares};
 use succession::Opinion;
 
 /// What the control thread tells the data thread.
@@ -15,8 +15,8 @@
         group: String,
         members: Vec<(MemberSpec, SocketAddr)>,
     },
-    /// How many connections and running statements each member of a group may get.
-    Share { group: String, connections: u32, at_once: u32 },
+    /// This daemon's part of each member of a group.
+    Shares { group: String, shares: Shares },
     /// Who is primary of a group; `None` while a change is under way. To be answered
     /// by [`Report::Applied`] when no older primary is used any more.
     Lead { group: String, lead: Option<MemberId>, planned: bool, version: u64 },
--- a/crates/pool/src/lib.rs
+++ b/crates/pool/src/lib.rs
@@ -9,11 +9,16 @@
 mod member;
 mod need;
 mod pool;
+mod shares;
 mod spec;
 
 pub use crate::{
     action::Action,
     need::Need,
     pool::{Pool, Request},
+    shares::Shares,
     spec::MemberSpec,
 };
+
+#[cfg(test)]
+mod tests;
--- a/crates/pool/src/member.rs
+++ b/crates/pool/src/member.rs
@@ -11,6 +11,9 @@
 /// How long a replica that was found behind is left alone by reads that it could
 /// not serve; a few times the usual lag.
 const BEHIND_FOR: Span = Span::from_millis(150);
+/// How long a connection beyond those kept stays open without use: longer than a
+/// burst pauses, shorter than what would matter after a loss of power.
+const SPARE_FOR: Span = Span::from_millis(1_500);
 /// Connections being opened at once: each holds a slot of the member for a while.
 const OPENING_AT_ONCE: u32 = 1;
 
@@ -18,8 +21,8 @@
 #[derive(Debug)]
 pub(crate) struct Member {
     pub(crate) spec: MemberSpec,
-    /// Idle connections, the one used last at the end.
-    pub(crate) idle: Vec<u64>,
+    /// Idle connections and since when, the one used last at the end.
+    pub(crate) idle: Vec<(u64, Time)>,
     /// Connections open or being opened, idle or not.
     pub(crate) open: u32,
     pub(crate) opening: u32,
@@ -105,6 +108,14 @@
         !self.spec.leaving && !self.health.is_ejected(now)
     }
 
+    /// Takes an idle connection that should be closed.
+    pub(crate) fn take_spare(&mut self, now: Time, kept: u32, most: u32) -> Option<u64> {
+        let &(_, since) = self.idle.first()?;
+        let unused = self.open > kept && now.since(since) >= SPARE_FOR;
+        let close = self.spec.leaving || self.open > most || unused;
+        close.then(|| self.idle.remove(0).0)
+    }
+
     /// Whether another connection may be opened, given this daemon's share.
     pub(crate) fn may_open(&self, now: Time, share: u32) -> bool {
         let full = self.full_until.is_some_and(|until| now < until);
--- a/crates/pool/src/pool.rs
+++ b/crates/pool/src/pool.rs
@@ -3,7 +3,7 @@
 use consistency::PrimaryHistory;
 use table::{Policy, RowKey};
 
-use crate::{action::Action, member::Member, need::Need, spec::MemberSpec};
+use crate::{action::Action, member::Member, need::Need, shares::Shares, spec::MemberSpec};
 
 /// How far back positions of the primary are kept: longer than any age of data
 /// that routes accept.
@@ -14,7 +14,7 @@
 const PRIMARY_WEIGHT: u64 = 2;
 
 /// How long no connection is opened to a member that has as many as it accepts.
-const FULL_FOR: Span = Span::from_millis(1_000);
+const FULL_FOR: Span = Span::from_millis(300);
 /// Refused connections in a row that show that nothing listens there.
 const REFUSALS_TO_COUNT: u32 = 2;
 
@@ -37,8 +37,7 @@
 #[derive(Debug)]
 pub struct Pool {
     members: Vec<Member>,
-    share: u32,
-    at_once: u32,
+    shares: Shares,
     lead: Option<MemberId>,
     lead_until: Time,
     scheduler: Scheduler<u64>,
@@ -51,8 +50,7 @@
     fn default() -> Pool {
         Pool {
             members: Vec::new(),
-            share: 1,
-            at_once: 1,
+            shares: Shares::new(0, 1, 1),
             lead: None,
             lead_until: Time::default(),
             scheduler: Scheduler::new(Policing::Full),
@@ -72,7 +70,7 @@
                 Some(spec) if spec.born == member.spec.born => member.spec = spec.clone(),
                 Some(spec) => {
                     // Its connections died with its earlier run.
-                    for conn in member.idle.drain(..) {
+                    for (conn, _) in member.idle.drain(..) {
                         member.open = member.open.saturating_sub(1);
                         out.push(Action::Close { conn });
                     }
@@ -93,11 +91,9 @@
         });
     }
 
-    /// Sets how many connections this daemon may hold to each member, and how many
-    /// statements it may run there at once before others wait.
-    pub fn set_share(&mut self, share: u32, at_once: u32) {
-        self.share = share.max(1);
-        self.at_once = at_once.max(1);
+    /// Sets this daemon's part of each member.
+    pub fn set_shares(&mut self, shares: Shares) {
+        self.shares = shares;
     }
 
     /// Sets the primary, and until when it may be used.
@@ -139,7 +135,7 @@
         let Some(member) = self.find(member) else { return false };
         member.opening = member.opening.saturating_sub(1);
         member.answered(now);
-        member.idle.push(conn);
+        member.idle.push((conn, now));
         true
     }
 
@@ -165,7 +161,7 @@
     /// Notes that a connection is gone; `failed` if the member broke it.
     pub fn closed(&mut self, now: Time, member: &MemberId, conn: u64, failed: bool) {
         let Some(member) = self.find(member) else { return };
-        member.idle.retain(|&idle| idle != conn);
+        member.idle.retain(|(idle, _)| *idle != conn);
         member.open = member.open.saturating_sub(1);
         if failed {
             member.health.failed(now);
@@ -173,16 +169,16 @@
     }
 
     /// Gives a connection back that can be used again.
-    pub fn idle(&mut self, member: &MemberId, conn: u64, out: &mut Vec<Action>) {
-        let share = self.share;
+    pub fn idle(&mut self, now: Time, member: &MemberId, conn: u64, out: &mut Vec<Action>) {
+        let most = self.shares.most;
         let Some(member) = self.find(member) else {
             return out.push(Action::Close { conn });
         };
-        if member.spec.leaving || member.open > share {
+        if member.spec.leaving || member.open > most {
             member.open = member.open.saturating_sub(1);
             return out.push(Action::Close { conn });
         }
-        member.idle.push(conn);
+        member.idle.push((conn, now));
     }
 
     /// Notes that a statement is sent on a connection that is in use.
@@ -294,7 +290,7 @@
 
     /// Requests that each lane can run at once, for expected waits.
     fn refresh_slots(&mut self, now: Time) {
-        let share = self.at_once;
+        let share = self.shares.at_once;
         let usable = self.members.iter().filter(|member| member.usable(now));
         let replicas = usable.filter(|member| Some(&member.spec.id) != self.lead.as_ref()).count();
         self.scheduler.set_slots(Lane::Primary, share);
@@ -318,7 +314,7 @@
 
     fn start(&mut self, now: Time, index: usize, picked: Picked<u64>, out: &mut Vec<Action>) {
         let member = &mut self.members[index];
-        let Some(conn) = member.idle.pop() else { return };
+        let Some((conn, _)) = member.idle.pop() else { return };
         member.asked(now);
         member.running += 1;
         self.needs.remove(&picked.item);
@@ -332,7 +328,7 @@
         let lead = self.lead(now);
         let members = self.members.iter().filter(|member| member.usable(now));
         let fitting = members.filter(|member| lane == Lane::Replica || Some(&member.spec.id) == lead);
-        let free: u32 = fitting.map(|member| member.room(self.at_once)).sum();
+        let free: u32 = fitting.map(|member| member.room(self.shares.at_once)).sum();
         (free > 0).then_some(free)
     }
 
@@ -344,7 +340,7 @@
                 Need::Primary => leads,
                 Need::AtLeast(required) => leads || member.may_hold(now, required),
             };
-            fits && member.usable(now) && member.room(self.at_once) > 0
+            fits && member.usable(now) && member.room(self.shares.at_once) > 0
         });
         let best = fitting.min_by_key(|(_, member)| {
             let far = if member.spec.near { 0 } else { FAR_COST.as_micros() };
@@ -354,19 +350,21 @@
         best.map(|(index, _)| index)
     }
 
-    /// Keeps this daemon's share of connections open.
+    /// Keeps connections open, more of them while requests wait.
     fn warm(&mut self, now: Time, out: &mut Vec<Action>) {
+        let waits = self.scheduler.waiting() > 0;
+        let Shares { kept, most, .. } = self.shares;
         for member in &mut self.members {
-            while member.may_open(now, self.share) {
+            let wanted = if waits && member.idle.is_empty() { most } else { kept };
+            while member.may_open(now, wanted) {
                 member.open += 1;
                 member.opening += 1;
                 member.asked(now);
                 out.push(Action::Open { member: member.spec.id.clone() });
             }
-            let allowed = if member.spec.leaving { 0 } else { self.share };
-            while member.open > allowed && !member.idle.is_empty() {
+            while let Some(conn) = member.take_spare(now, kept, most) {
                 member.open -= 1;
-                out.push(Action::Close { conn: member.idle.remove(0) });
+                out.push(Action::Close { conn });
             }
         }
     }
