--- a/crates/entry/src/control/beat.rs
+++ b/crates/entry/src/control/beat.rs
@@ -8,6 +8,8 @@
     pub(crate) from: String,
     /// Run of its daemon.
     pub(crate) run: u64,
+    /// Whether the sender is a carrier; the others only ask.
+    pub(crate) carries: bool,
     /// Number of this heartbeat.
     pub(crate) number: u64,
     /// Number of the last heartbeat that the sender had from the receiver.
--- a/crates/entry/src/control/event.rs
+++ b/crates/entry/src/control/event.rs
@@ -1,4 +1,4 @@
-use std::path;
+use std::{net::SocketAddr, path};
 
 use adapter::{CallError, Rows};
 use base::Time;
@@ -21,8 +21,8 @@
     StoreFailed { table: &'static str, error: CallError },
     /// A write to this project's rows has ended.
     Written { what: &'static str, result: Result<u64, CallError> },
-    /// A heartbeat of another daemon.
-    Beat(Beat),
+    /// A heartbeat of another daemon, and where it came from.
+    Beat(Beat, SocketAddr),
     /// News of the data thread.
     Data(Report),
     /// A member was asked for its state.
--- a/crates/entry/src/control/ledger.rs
+++ b/crates/entry/src/control/ledger.rs
@@ -1,13 +1,13 @@
 use adapter::{Key, Row, Rows};
 use base::FastMap;
 use serde::de::DeserializeOwned;
-use succession::{DaemonRecord, DutyRecord, LeadRecord};
+use succession::{CarrierRecord, DutyRecord, LeadRecord};
 
 /// Table of this project's rows in the store.
 pub(crate) const TABLE: &str = "corianderwharf";
 const DUTY: &str = "duty";
 const LEAD: &str = "lead/";
-const DAEMON: &str = "daemon/";
+const CARRIER: &str = "carrier/";
 
 /// This project's rows as last read.
 #[derive(Debug, Default)]
@@ -17,7 +17,8 @@
     pub(crate) known: bool,
     pub(crate) duty: Option<(DutyRecord, u64)>,
     pub(crate) leads: FastMap<String, (LeadRecord, u64)>,
-    pub(crate) daemons: FastMap<String, (DaemonRecord, u64)>,
+    /// Carriers by their place.
+    pub(crate) carriers: FastMap<String, (CarrierRecord, u64)>,
     /// Newest version seen of each row, dropped ones too.
     versions: FastMap<String, u64>,
 }
@@ -27,7 +28,7 @@
 pub(crate) enum Changed {
     Duty,
     Lead(String),
-    Daemons,
+    Carriers,
 }
 
 impl Ledger {
@@ -41,9 +42,29 @@
         format!("{LEAD}{group}")
     }
 
-    /// Key of a daemon's row.
-    pub(crate) fn daemon_key(vm: &str) -> String {
-        format!("{DAEMON}{vm}")
+    /// A place for a carrier.
+    pub(crate) fn carrier_place(zone: &str, number: u32) -> String {
+        format!("{zone}/{number}")
+    }
+
+    /// Key of the row of a carrier's place.
+    pub(crate) fn carrier_key(place: &str) -> String {
+        format!("{CARRIER}{place}")
+    }
+
+    /// The place that a VM's daemon has as a carrier, its record and version.
+    pub(crate) fn carrier(&self, vm: &str) -> Option<(&str, &CarrierRecord, u64)> {
+        let mut carriers = self.carriers.iter();
+        let (place, (record, version)) = carriers.find(|(_, (record, _))| record.vm == vm)?;
+        Some((place, record, *version))
+    }
+
+    /// Number of daemons that are carriers.
+    pub(crate) fn carrier_count(&self) -> u32 {
+        let mut vms: Vec<_> = self.carriers.values().map(|(record, _)| &record.vm).collect();
+        vms.sort_unstable();
+        vms.dedup();
+        vms.len() as u32
     }
 
     /// Takes rows in; what changed by them.
@@ -73,21 +94,21 @@
         } else if let Some(group) = row.key.strip_prefix(LEAD) {
             put(&mut self.leads, group, decode(&row.key, value), version);
             changed.push(Changed::Lead(group.to_owned()));
-        } else if let Some(vm) = row.key.strip_prefix(DAEMON) {
-            put(&mut self.daemons, vm, decode(&row.key, value), version);
-            changed.push(Changed::Daemons);
+        } else if let Some(place) = row.key.strip_prefix(CARRIER) {
+            put(&mut self.carriers, place, decode(&row.key, value), version);
+            changed.push(Changed::Carriers);
         }
     }
 
-    /// Drops daemons that a whole reading lacks. Other rows are never dropped.
+    /// Drops carriers that a whole reading lacks. Other rows are never dropped.
     fn drop_missing(&mut self, rows: &Rows, changed: &mut Vec<Changed>) {
-        let before = self.daemons.len();
-        self.daemons.retain(|vm, (_, version)| {
-            let key = Ledger::daemon_key(vm);
+        let before = self.carriers.len();
+        self.carriers.retain(|place, (_, version)| {
+            let key = Ledger::carrier_key(place);
             *version > rows.version || rows.rows.iter().any(|row| row.key == key)
         });
-        if self.daemons.len() < before {
-            changed.push(Changed::Daemons);
+        if self.carriers.len() < before {
+            changed.push(Changed::Carriers);
         }
     }
 }
--- a/crates/entry/src/control/stewardship.rs
+++ b/crates/entry/src/control/stewardship.rs
@@ -161,16 +161,16 @@
     }
 
     fn note_who_knows(&mut self, ledger: &Ledger, peers: &Peers) {
-        let Some((_, own)) = ledger.daemons.get(&self.vm) else { return };
+        let Some((_, _, own)) = ledger.carrier(&self.vm) else { return };
         for (name, peer) in &peers.peers {
-            if peer.version >= *own {
-                self.known_by.insert(name.clone(), *own);
+            if peer.version >= own {
+                self.known_by.insert(name.clone(), own);
             }
         }
     }
 
     fn consider_taking(&mut self, now: Time, ledger: &Ledger, peers: &Peers) {
-        if !ledger.known || !ledger.daemons.contains_key(&self.vm) || self.is_writing(now) {
+        if !ledger.known || ledger.carrier(&self.vm).is_none() || self.is_writing(now) {
             return;
         }
         let mut before = 0;
@@ -272,7 +272,7 @@
         peers: &Peers,
     ) -> bool {
         let learnt = self.learnt.get(group).copied().unwrap_or(now);
-        ledger.daemons.keys().all(|name| {
+        ledger.carriers.values().map(|(record, _)| &record.vm).all(|name| {
             if *name == self.vm {
                 return now >= learnt && ledger.version >= version;
             }
--- a/crates/entry/src/control/task.rs
+++ b/crates/entry/src/control/task.rs
@@ -8,7 +8,7 @@
 use futures_channel::mpsc;
 use futures_util::StreamExt;
 use pool::{MemberSpec, Shares};
-use succession::{Candidate, DaemonRecord, Grants, Opinion};
+use succession::{Candidate, CarrierPlaces, CarrierRecord, Carriers, Grants, Opinion};
 use tokio::net::UdpSocket;
 
 use crate::{
@@ -35,6 +35,8 @@
 const TICK: Duration = Duration::from_millis(50);
 /// Time between heartbeats: several within a grant.
 const BEAT_EVERY: Span = Span::from_millis(250);
+/// Time between questions to carriers from a daemon that is none.
+const QUESTION_EVERY: Span = Span::from_millis(500);
 /// The store is asked itself when the other daemons' answers keep the grant for less
 /// than this.
 const GRANT_LOW: Span = Span::from_millis(900);
@@ -51,8 +53,13 @@
 const EVACUATE_AFTER: Span = Span::from_millis(2_000);
 /// How long an own opinion of a primary counts.
 const OPINION_FOR: Span = Span::from_millis(500);
-/// Silence after which a daemon is taken off the list; it enters itself again.
-const FORGET_DAEMON_AFTER: Span = Span::from_millis(15_000);
+/// Silence after which a carrier loses its place: longer than a restart with its
+/// grace, so that a VM that comes back carries on.
+const FORGET_CARRIER_AFTER: Span = Span::from_millis(9_000);
+/// Processor time, in cores, from which a VM takes a place at once.
+const LARGE_CORES: f64 = 0.25;
+/// How long smaller VMs leave a free place to larger ones, which start meanwhile.
+const SMALL_WAIT: Span = Span::from_millis(1_500);
 /// Datagrams are far smaller.
 const MAX_DATAGRAM_BYTES: usize = 16 * 1024;
 
@@ -80,6 +87,15 @@
     last_beat: Option<Time>,
     last_asked: Option<Time>,
     registering: Option<Time>,
+    /// Since when a place for a carrier has been free here.
+    vacant_since: Option<Time>,
+    carriers: Carriers,
+    carries: bool,
+    /// What the data thread was told of carriers.
+    told: Option<(bool, Vec<SocketAddr>)>,
+    /// Since when this daemon follows all rows again.
+    active_since: Option<Time>,
+    config_current: bool,
     store_lost: bool,
     stopping: bool,
     /// When the grant was last good.
@@ -120,7 +136,6 @@
         };
         match event {
             Some(Event::Data(Report::Ended)) => {
-                control.leave().await;
                 return Ok(());
             }
             Some(event) => control.handle(event),
@@ -133,9 +148,9 @@
     let mut buf = vec![0; MAX_DATAGRAM_BYTES];
     loop {
         match socket.recv_from(&mut buf).await {
-            Ok((count, _)) => match serde_json::from_slice(&buf[..count]) {
+            Ok((count, from)) => match serde_json::from_slice(&buf[..count]) {
                 Ok(beat) => {
-                    if events.unbounded_send(Event::Beat(beat)).is_err() {
+                    if events.unbounded_send(Event::Beat(beat, from)).is_err() {
                         return;
                     }
                 }
@@ -181,6 +196,12 @@
             last_beat: None,
             last_asked: None,
             registering: None,
+            vacant_since: None,
+            carriers: Carriers::default(),
+            carries: false,
+            told: None,
+            active_since: None,
+            config_current: true,
             store_lost: false,
             stopping: false,
             granted_at: None,
@@ -196,7 +217,10 @@
                     logs::event("dependency regained", &serde_json::json!({"store": table}));
                 }
                 match table {
-                    OPERATOR => self.take_config(&rows),
+                    OPERATOR => {
+                        self.config_current |= self.active_since.is_none_or(|at| asked_at >= at);
+                        self.take_config(&rows);
+                    }
                     MEMBERS => self.take_members(&rows, whole),
                     _ => self.take_ledger(&rows, whole, asked_at),
                 }
@@ -211,7 +235,7 @@
                 }
             }
             Event::Written { what, result } => self.written(what, result),
-            Event::Beat(beat) => self.heard(&beat),
+            Event::Beat(beat, from) => self.heard(&beat, from),
             Event::Data(Report::Applied { version }) => {
                 self.pending.retain(|pending| *pending != version);
                 self.settle_applied();
@@ -219,6 +243,10 @@
             Event::Data(Report::Opinion { group, primary, opinion }) => {
                 self.opinions.insert(group, (primary, opinion, clock::now()));
             }
+            Event::Data(Report::CarrierFailed { sessions }) => {
+                self.carriers.failed(clock::now(), sessions);
+                self.tell_carriers(clock::now());
+            }
             Event::Data(Report::Ended) => {}
             Event::Status { member, status } => self.steward.note_status(member, status),
             Event::Promoted { group, member, outcome } => {
@@ -233,12 +261,13 @@
     fn tick(&mut self) {
         let now = clock::now();
         self.forget_members(now);
-        if self.last_beat.is_none_or(|at| now.since(at) >= BEAT_EVERY) {
+        let every = if self.carries { BEAT_EVERY } else { QUESTION_EVERY };
+        if self.last_beat.is_none_or(|at| now.since(at) >= every) {
             self.beat(now);
         }
         self.ask_store(now);
         self.register(now);
-        self.forget_daemons(now);
+        self.forget_carriers(now);
         self.refresh_grant();
         self.refresh_ready(now);
         self.steer(now);
@@ -326,7 +355,7 @@
     /// Divides the members' connections among the daemons.
     fn share_out(&self) {
         let Some(config) = &self.config else { return };
-        let daemons = self.ledger.daemons.len().max(1) as u32;
+        let daemons = self.ledger.carrier_count();
         for group in &config.groups {
             let slots = self.members.values().filter(|member| member.entry.group == group.name);
             let slots = slots.map(|member| member.entry.slots).max().unwrap_or(1);
@@ -342,7 +371,7 @@
                     self.steward.duty_changed(self.ledger.duty.as_ref().map(|(duty, _)| duty));
                 }
                 Changed::Lead(group) => self.lead_changed(&group),
-                Changed::Daemons => self.daemons_changed(),
+                Changed::Carriers => self.carriers_changed(),
             }
         }
         self.settle_applied();
@@ -363,18 +392,18 @@
         self.order(Order::Lead { group: group.to_owned(), lead, planned, version });
     }
 
-    fn daemons_changed(&mut self) {
+    fn carriers_changed(&mut self) {
         let own = self.settings.vm.as_str();
-        let others = self.ledger.daemons.iter().filter(|(name, _)| *name != own);
-        let others = others.filter_map(|(name, (record, _))| match record.addr.parse() {
-            Ok(addr) => Some((name.clone(), addr)),
-            Err(_) => {
-                logs::error(&format!("daemon {name:?} has address {:?}", record.addr));
-                None
-            }
-        });
-        self.peers.set(others);
+        let records = self.ledger.carriers.values().map(|(record, _)| record);
+        let others = records.clone().filter(|record| record.vm != own);
+        self.peers.set(others.map(|record| (record.vm.clone(), record.addr)));
         self.grants.set_peers(self.peers.peers.keys().map(String::as_str));
+        self.carriers.set(clock::now(), records);
+        let carries = self.ledger.carrier(own).is_some();
+        if carries != self.carries {
+            self.carries = carries;
+            logs::event("role", &serde_json::json!({"carrier": carries}));
+        }
         self.share_out();
     }
 
@@ -400,25 +429,48 @@
                 (group.clone(), primary.as_str().to_owned(), *opinion)
             })
             .collect();
+        if !self.carries {
+            let question = encode(&self.new_beat(number, (0, 0), &[]));
+            for addr in self.carriers.to_ask() {
+                // Datagrams are lost now and then anyway.
+                let _ = self.socket.try_send_to(&question, addr);
+            }
+            return;
+        }
         for peer in self.peers.peers.values() {
-            let (echo, echo_run) = peer.echo();
-            let beat = Beat {
-                from: self.settings.vm.clone(),
-                run: self.run,
-                number,
-                echo,
-                echo_run,
-                version: self.applied,
-                config: self.config.as_ref().map_or(0, |config| config.version),
-                opinions: opinions.clone(),
-            };
+            let beat = self.new_beat(number, peer.echo(), &opinions);
             // Datagrams are lost now and then anyway.
             let _ = self.socket.try_send_to(&encode(&beat), peer.addr);
         }
     }
 
-    fn heard(&mut self, beat: &Beat) {
+    fn new_beat(
+        &self,
+        number: u64,
+        (echo, echo_run): (u64, u64),
+        opinions: &[(String, String, Opinion)],
+    ) -> Beat {
+        Beat {
+            from: self.settings.vm.clone(),
+            run: self.run,
+            carries: self.carries,
+            number,
+            echo,
+            echo_run,
+            version: self.applied,
+            config: self.config.as_ref().map_or(0, |config| config.version),
+            opinions: opinions.to_vec(),
+        }
+    }
+
+    fn heard(&mut self, beat: &Beat, from: SocketAddr) {
         let now = clock::now();
+        self.carriers.heard(now, &beat.from);
+        if !beat.carries && self.carries {
+            let answer = self.new_beat(0, (beat.number, beat.run), &[]);
+            // Datagrams are lost now and then anyway.
+            let _ = self.socket.try_send_to(&encode(&answer), from);
+        }
         let asked_at = self.peers.take_in(now, self.run, beat);
         if let Some(asked_at) = asked_at {
             self.grants.peer_answered(&beat.from, asked_at, beat.version);
@@ -434,7 +486,7 @@
     /// Asks the store itself while the other daemons' answers do not suffice.
     fn ask_store(&mut self, now: Time) {
         let lately = self.last_asked.is_some_and(|at| now.since(at) < ASK_STORE_EVERY);
-        if lately || !self.ledger.known || self.grants.peers_suffice(now, GRANT_LOW) {
+        if lately || !self.carries || !self.ledger.known || self.grants.peers_suffice(now, GRANT_LOW) {
             return;
         }
         self.last_asked = Some(now);
@@ -451,23 +503,48 @@
         });
     }
 
-    /// Enters this daemon into the list, without which it may use no primary.
+    /// Takes a free place as a carrier in this availability zone. Small VMs leave the
+    /// large ones time to do so first.
     fn register(&mut self, now: Time) {
-        let addr = SocketAddr::new(self.settings.callers.ip(), self.settings.ports.0);
-        let record = DaemonRecord { addr: addr.to_string(), zone: self.settings.zone.clone() };
-        let known = self.ledger.daemons.get(&self.settings.vm);
-        let listed = known.is_some_and(|(known, _)| *known == record);
+        let Some(config) = &self.config else { return };
         let lately = self.registering.is_some_and(|at| now.since(at) < ASK_STORE_EVERY);
-        if listed || !self.ledger.known || lately || self.stopping {
+        if !self.ledger.known || lately || self.stopping {
             return;
         }
+        let addr = SocketAddr::new(self.settings.callers.ip(), self.settings.ports.0);
+        let record = CarrierRecord {
+            vm: self.settings.vm.clone(),
+            addr,
+            sessions: self.settings.callers,
+            zone: self.settings.zone.clone(),
+        };
+        let (place, version) = match self.ledger.carrier(&self.settings.vm) {
+            Some((_, known, _)) if *known == record => return,
+            Some((place, _, version)) => (place.to_owned(), version),
+            None => {
+                let connections = config.groups.iter().map(|group| group.connections).min();
+                let places = CarrierPlaces::new(connections.unwrap_or(0), self.settings.zones);
+                let places = places
+                    .numbers()
+                    .map(|number| Ledger::carrier_place(&self.settings.zone, number));
+                let mut free = places.filter(|place| !self.ledger.carriers.contains_key(place));
+                let Some(place) = free.next() else {
+                    self.vacant_since = None;
+                    return;
+                };
+                let since = *self.vacant_since.get_or_insert(now);
+                let small = self.settings.cores < LARGE_CORES;
+                if small && now.since(since) < SMALL_WAIT {
+                    return;
+                }
+                (place, 0)
+            }
+        };
         self.registering = Some(now);
-        let key = Ledger::daemon_key(&self.settings.vm);
-        let place = Key { table: TABLE, key: &key };
-        let version = known.map_or(0, |(_, version)| *version);
-        let change =
-            Change::default().with_expected(place, version).with_row(place, &encode(&record));
-        self.write("daemon", change);
+        let key = Ledger::carrier_key(&place);
+        let row = Key { table: TABLE, key: &key };
+        let change = Change::default().with_expected(row, version).with_row(row, &encode(&record));
+        self.write("carrier", change);
     }
 
     fn write(&self, what: &'static str, change: Change) {
@@ -490,34 +567,40 @@
         self.last_asked = None;
     }
 
-    /// Takes daemons off the list that have been silent for long.
-    fn forget_daemons(&mut self, now: Time) {
+    /// Takes the place of carriers that have been silent for long.
+    fn forget_carriers(&mut self, now: Time) {
         if !self.steward.holds() {
             return;
         }
         let gone = self.peers.peers.iter().find(|(_, peer)| {
-            peer.heard.is_some_and(|heard| now.since(heard) >= FORGET_DAEMON_AFTER)
+            peer.heard.is_some_and(|heard| now.since(heard) >= FORGET_CARRIER_AFTER)
         });
-        let Some((name, _)) = gone else { return };
-        let Some((_, version)) = self.ledger.daemons.get(name) else { return };
-        let key = Ledger::daemon_key(name);
-        let place = Key { table: TABLE, key: &key };
-        let change = Change::default().with_expected(place, *version).without_row(place);
-        logs::event("daemon forgotten", &serde_json::json!({"vm": name}));
-        let name = name.clone();
-        self.peers.peers.remove(&name);
-        self.write("daemon", change);
+        let Some((vm, _)) = gone else { return };
+        let Some((place, _, version)) = self.ledger.carrier(vm) else { return };
+        let key = Ledger::carrier_key(place);
+        let row = Key { table: TABLE, key: &key };
+        let change = Change::default().with_expected(row, version).without_row(row);
+        logs::event("carrier forgotten", &serde_json::json!({"vm": vm}));
+        let vm = vm.clone();
+        self.peers.peers.remove(&vm);
+        self.write("carrier", change);
     }
 
     fn refresh_grant(&self) {
-        let listed = self.ledger.daemons.contains_key(&self.settings.vm);
-        let until = if listed { self.grants.until() } else { Time::default() };
+        let until = if self.carries { self.grants.until() } else { Time::default() };
         self.shared.set_grant_until(until);
     }
 
     fn refresh_ready(&mut self, now: Time) {
-        let known = self.config.is_some() && self.members_known && self.ledger.known;
-        let granted = now + GRANT_TO_BE_READY < self.shared.grant_until();
+        self.refresh_passive(now);
+        self.tell_carriers(now);
+        let known = self.ledger.known
+            && if self.carries {
+                self.config.is_some() && self.members_known
+            } else {
+                self.told.as_ref().is_some_and(|(_, choices)| !choices.is_empty())
+            };
+        let granted = !self.carries || now + GRANT_TO_BE_READY < self.shared.grant_until();
         if granted || !known {
             self.granted_at = Some(now);
         }
@@ -533,7 +616,35 @@
         }
     }
 
+    /// A daemon that is no carrier, with every place taken, need not follow all rows.
+    /// When it becomes one, it serves only by rows that are read anew.
+    fn refresh_passive(&mut self, now: Time) {
+        let known = self.ledger.known && self.config.is_some();
+        let passive = known && !self.carries && self.vacant_since.is_none();
+        if passive {
+            self.active_since = None;
+        } else if self.shared.is_passive() {
+            self.active_since = Some(now);
+            self.config_current = false;
+        }
+        self.shared.set_passive(passive);
+    }
+
+    fn tell_carriers(&mut self, now: Time) {
+        let mut choices = self.carriers.choices(now, &self.settings.zone);
+        choices.sort_unstable();
+        let told = (self.carries && self.config_current, choices);
+        if self.told.as_ref() != Some(&told) {
+            self.told = Some(told.clone());
+            let (here, choices) = told;
+            self.order(Order::Carriers { here, choices });
+        }
+    }
+
     fn steer(&mut self, now: Time) {
+        if !self.carries {
+            return;
+        }
         let Some(config) = self.config.clone() else { return };
         let views: Vec<_> = config.groups.iter().map(|group| self.view(now, group)).collect();
         self.steward.tick(&self.ledger, &self.peers, &views);
@@ -572,17 +683,6 @@
         self.order(Order::Stop);
     }
 
-    /// Takes this daemon off the list, so that no change waits for it.
-    async fn leave(&self) {
-        let Some((_, version)) = self.ledger.daemons.get(&self.settings.vm) else { return };
-        let key = Ledger::daemon_key(&self.settings.vm);
-        let place = Key { table: TABLE, key: &key };
-        let change = Change::default().with_expected(place, *version).without_row(place);
-        if let Err(error) = self.store.apply(&change).await {
-            logs::warn(&format!("this daemon stays on the list: {error}"));
-        }
-    }
-
     fn order(&self, order: Order) {
         // Fails only while the process ends.
         let _ = self.orders.unbounded_send(order);
--- a/crates/entry/src/control/watch.rs
+++ b/crates/entry/src/control/watch.rs
@@ -6,13 +6,18 @@
 
 use crate::{
     clock,
-    control::event::Event,
+    control::{event::Event, ledger::TABLE},
     shared::{Counter, Shared},
 };
 
 /// How long the store may hold a feed's call. A connection that went silent is
 /// noticed after this and a second more, within the time that a configuration has.
 const FEED_WAIT: Duration = Duration::from_millis(4_000);
+/// The same for a daemon that relies on carriers: a list of carriers that is out of
+/// date shows when they do not answer.
+const PASSIVE_WAIT: Duration = Duration::from_millis(20_000);
+/// How often such a daemon looks whether it has become a carrier.
+const PASSIVE_LOOK: Duration = Duration::from_millis(250);
 /// Pauses after a failed call, shortest and longest. Each daemon asks at its own
 /// moment, so that a store that returns is not met by all at once.
 const RETRY_MS: std::ops::Range<u64> = 120..400;
@@ -26,11 +31,18 @@
 ) {
     let mut after = None;
     loop {
+        while table != TABLE && after.is_some() && shared.is_passive() {
+            tokio::time::sleep(PASSIVE_LOOK).await;
+            if !shared.is_passive() {
+                after = None;
+            }
+        }
+        let wait = if shared.is_passive() { PASSIVE_WAIT } else { FEED_WAIT };
         let asked_at = clock::now();
         shared.count(Counter::StoreCalls);
         let (result, whole) = match after {
             None => (store.rows(table).await, true),
-            Some(version) => (store.feed(table, version, FEED_WAIT).await, false),
+            Some(version) => (store.feed(table, version, wait).await, false),
         };
         match result {
             Ok(rows) => {
--- a/crates/entry/src/data/context.rs
+++ b/crates/entry/src/data/context.rs
@@ -1,5 +1,6 @@
 use std::{
     cell::{Cell, RefCell},
+    net::SocketAddr,
     rc::Rc,
     sync::Arc,
     time::Duration,
@@ -37,6 +38,10 @@
     pub(crate) sessions_end: SharedFuture<oneshot::Receiver<()>>,
     /// Done when transactions should end too.
     pub(crate) all_end: SharedFuture<oneshot::Receiver<()>>,
+    /// Whether this daemon carries sessions to members itself.
+    pub(crate) carries: Cell<bool>,
+    /// Carriers to choose from otherwise, by the address of their sessions.
+    pub(crate) choices: RefCell<Vec<SocketAddr>>,
     /// Whether idle sessions should go to other daemons.
     pub(crate) evacuate: Cell<bool>,
     last_number: Cell<u64>,
@@ -71,6 +76,8 @@
             accepting_ends: accepting_ends.shared(),
             sessions_end: sessions_end.shared(),
             all_end: all_end.shared(),
+            carries: Cell::new(false),
+            choices: RefCell::default(),
             evacuate: Cell::new(false),
             last_number: Cell::new(0),
         };
@@ -84,6 +91,20 @@
         number
     }
 
+    /// Whether a carrier still answers.
+    pub(crate) fn is_choice(&self, sessions: SocketAddr) -> bool {
+        self.choices.borrow().contains(&sessions)
+    }
+
+    /// Whether sessions can be served, here or through a carrier.
+    pub(crate) fn can_serve(&self) -> bool {
+        if self.carries.get() {
+            self.config.borrow().is_some()
+        } else {
+            !self.choices.borrow().is_empty()
+        }
+    }
+
     /// How requests for a database are served, with the configuration's version.
     pub(crate) fn route(&self, database: &str) -> Option<(Route, u64)> {
         let config = self.config.borrow();
--- a/crates/entry/src/data/mod.rs
+++ b/crates/entry/src/data/mod.rs
@@ -5,6 +5,7 @@
 mod lease;
 mod member_conn;
 mod names;
+mod relay;
 mod serve;
 mod session;
 mod task;
--- a/crates/entry/src/data/serve.rs
+++ b/crates/entry/src/data/serve.rs
@@ -31,6 +31,9 @@
 /// How long an answer is still read that nobody waits for any more.
 const DRAIN_LIMIT: Duration = Duration::from_millis(3_000);
 
+/// Why a statement for the primary is refused at once; other daemons may know better.
+const NO_GRANT: &str = "this daemon cannot tell at present who is primary";
+
 /// A statement that a member must run.
 #[derive(Clone, Copy, Debug)]
 struct Turn<'a> {
@@ -59,6 +62,8 @@
 enum Acquired {
     Lease(Lease),
     Refused(&'static str),
+    /// This daemon cannot tell at present who is primary.
+    NoGrant,
 }
 
 impl Session {
@@ -82,7 +87,7 @@
             Transaction::Open { lease, read_only, wrote } => {
                 self.next(&turn, lease, read_only, wrote).await
             }
-            Transaction::Failed => Ok(()),
+            Transaction::Relayed { .. } | Transaction::Failed => Ok(()),
         }
     }
 
@@ -98,6 +103,7 @@
             let lease = match self.acquire(&group, turn, route, need_of(required)).await? {
                 Acquired::Lease(lease) => lease,
                 Acquired::Refused(reason) => return self.fail(turn.id, Code::Busy, reason).await,
+                Acquired::NoGrant => return self.fail(turn.id, Code::ReadOnly, NO_GRANT).await,
             };
             let tried = self.try_single(turn, route, &group, lease, required).await;
             let (code, reason) = match tried {
@@ -155,8 +161,7 @@
         need: Need,
     ) -> Result<Acquired, WireError> {
         if need == Need::Primary && group.lacks_grant() {
-            let reason = "this daemon cannot tell at present who is primary";
-            return Ok(Acquired::Refused(reason));
+            return Ok(Acquired::NoGrant);
         }
         let req = self.cx.number();
         let rank = match route.urgency {
@@ -342,16 +347,21 @@
         } else {
             lease.fail();
         }
-        self.deliver(turn, &answer).await
+        self.deliver(turn.id, turn.began, &answer).await
     }
 
     /// Passes a member's answer on.
-    async fn deliver(&mut self, turn: &Turn<'_>, answer: &Answer) -> Result<(), WireError> {
-        self.cx.shared.note_latency(clock::now().since(turn.began));
+    pub(crate) async fn deliver(
+        &mut self,
+        id: &str,
+        began: Time,
+        answer: &Answer,
+    ) -> Result<(), WireError> {
+        self.cx.shared.note_latency(clock::now().since(began));
         if let Err((code, text)) = &answer.result {
             logs::event(
                 "member answered with an error",
-                &serde_json::json!({"request": turn.id, "database": self.database,
+                &serde_json::json!({"request": id, "database": self.database,
                     "code": code.as_str(), "text": text}),
             );
         }
@@ -387,6 +397,10 @@
                     self.tx = Transaction::Failed;
                     return self.fail(turn.id, Code::Busy, reason).await;
                 }
+                Acquired::NoGrant => {
+                    self.tx = Transaction::Failed;
+                    return self.fail(turn.id, Code::ReadOnly, NO_GRANT).await;
+                }
             };
             let begin = if read_only { "BEGIN FETCH" } else { "BEGIN" };
             let after = required.filter(|position| *position > Position::default());
@@ -453,7 +467,7 @@
             }
             State::Idle => lease.give_back(),
         }
-        self.deliver(turn, &answer).await
+        self.deliver(turn.id, turn.began, &answer).await
     }
 
     /// Ends a transaction and keeps its writes.
@@ -474,7 +488,9 @@
         };
         match std::mem::take(&mut self.tx) {
             Transaction::None => self.fail(id, Code::Malformed, "no transaction is open").await,
-            Transaction::Failed => self.fail(id, Code::Aborted, "the transaction failed").await,
+            Transaction::Relayed { .. } | Transaction::Failed => {
+                self.fail(id, Code::Aborted, "the transaction failed").await
+            }
             Transaction::Pending { read_only } => {
                 // An empty transaction: the member's word is wanted all the same.
                 self.first(&turn, &route, read_only).await?;
@@ -525,7 +541,7 @@
             }
             self.mark = self.mark.max(answer.position.unwrap_or_default());
         }
-        self.deliver(turn, &answer).await
+        self.deliver(turn.id, turn.began, &answer).await
     }
 }
 
--- a/crates/entry/src/data/session.rs
+++ b/crates/entry/src/data/session.rs
@@ -11,7 +11,7 @@
 use wire::{Conn, WireError};
 
 use crate::{
-    data::{context::Context, lease::Lease, member_conn::Values},
+    data::{context::Context, lease::Lease, member_conn::Values, relay::Relay},
     shared::Counter,
 };
 
@@ -39,6 +39,9 @@
     /// Position of the session's last acknowledged commit.
     pub(crate) mark: Position,
     pub(crate) tx: Transaction,
+    /// Whether its statements go through a carrier.
+    pub(crate) relayed: bool,
+    pub(crate) relay: Relay,
 }
 
 /// The session's transaction.
@@ -51,6 +54,8 @@
     Pending { read_only: bool },
     /// Open on a member.
     Open { lease: Lease, read_only: bool, wrote: bool },
+    /// Open at a carrier.
+    Relayed { wrote: bool },
     /// Failed; nothing of it is kept.
     Failed,
 }
@@ -83,6 +88,8 @@
         names: FastMap::default(),
         mark: Position::default(),
         tx: Transaction::None,
+        relayed: false,
+        relay: Relay::default(),
         cx: Rc::clone(&cx),
     };
     // A caller that leaves is the usual end of a session.
@@ -92,14 +99,25 @@
 
 impl Session {
     async fn serve(mut self) -> Result<(), WireError> {
+        let ended = self.serve_until_end().await;
+        self.abandon_transaction();
+        ended
+    }
+
+    async fn serve_until_end(&mut self) -> Result<(), WireError> {
         let startup = time::timeout(STARTUP_LIMIT, self.message()).await;
         let Ok(Ok(Some(FromCaller::Startup { database }))) = startup else { return Ok(()) };
         self.database = database;
-        self.wait_for_config().await;
-        if self.cx.config.borrow().is_none() {
-            return self.turn_away(Code::Busy, "no configuration yet").await;
+        self.wait_until_served().await;
+        if !self.cx.can_serve() {
+            return self.turn_away(Code::Busy, "no configuration or no carrier yet").await;
         }
-        if self.cx.route(&self.database).is_none() {
+        self.relayed = !self.cx.carries.get();
+        if self.relayed {
+            if let Err((code, text)) = self.reach_carrier().await {
+                return self.turn_away(code, &text).await;
+            }
+        } else if self.cx.route(&self.database).is_none() {
             return self.turn_away(Code::NoDatabase, "no database of that name").await;
         }
         self.reply(|buf| write::ready(buf, State::Idle, None)).await?;
@@ -111,9 +129,9 @@
         }
     }
 
-    async fn wait_for_config(&self) {
+    async fn wait_until_served(&self) {
         let wait = async {
-            while self.cx.config.borrow().is_none() {
+            while !self.cx.can_serve() {
                 time::sleep(CONFIG_TICK).await;
             }
         };
@@ -157,7 +175,7 @@
 
     /// Waits for the caller, but not for longer than a transaction may rest.
     async fn fill_in_transaction(&mut self) -> Result<(), WireError> {
-        let open = matches!(self.tx, Transaction::Open { .. });
+        let open = matches!(self.tx, Transaction::Open { .. } | Transaction::Relayed { .. });
         let idle = self.cx.transaction_idle().filter(|_| open);
         let rest = async {
             match idle {
@@ -185,13 +203,17 @@
 
     /// Rolls the open transaction back; the caller learns of it at its next request.
     pub(crate) fn abandon_transaction(&mut self) {
-        let tx = std::mem::replace(&mut self.tx, Transaction::Failed);
-        if let Transaction::Open { lease, .. } = tx {
-            roll_back(lease);
+        match std::mem::replace(&mut self.tx, Transaction::Failed) {
+            Transaction::Open { lease, .. } => roll_back(lease),
+            Transaction::Relayed { .. } => self.relay.close(),
+            Transaction::None | Transaction::Pending { .. } | Transaction::Failed => {}
         }
     }
 
     async fn query(&mut self, id: &str, text: &str) -> Result<(), WireError> {
+        // Another daemon passes on what its caller's session has committed.
+        let (after, text) = adapter::split_after(text);
+        self.mark = self.mark.max(after.unwrap_or_default());
         let Some(statement) = Statement::parse(text) else {
             return self.fail(id, Code::Malformed, "not understood").await;
         };
@@ -207,10 +229,13 @@
                 }
                 _ => self.fail(id, Code::Malformed, "a transaction is open already").await,
             },
+            Statement::Commit if self.relayed => self.relay_commit(id).await,
             Statement::Commit => self.commit(id).await,
             Statement::Rollback => {
-                if matches!(self.tx, Transaction::Open { .. }) {
-                    self.abandon_transaction();
+                match self.tx {
+                    Transaction::Open { .. } => self.abandon_transaction(),
+                    Transaction::Relayed { .. } => self.roll_back_there().await,
+                    _ => {}
                 }
                 self.tx = Transaction::None;
                 self.done().await
@@ -227,8 +252,12 @@
                 Some(_) => self.done().await,
                 None => self.fail(id, Code::NoStatement, "no such name").await,
             },
+            Statement::Data(verb) if self.relayed => self.relay_data(id, verb, text, None).await,
             Statement::Data(verb) => self.data(id, verb, text, None).await,
             Statement::Execute { name, arguments } => match self.names.get(name).cloned() {
+                Some(shape) if self.relayed => {
+                    self.relay_data(id, shape.verb, arguments, Some(&shape)).await
+                }
                 Some(shape) => self.data(id, shape.verb, arguments, Some(&shape)).await,
                 None => self.fail(id, Code::NoStatement, "no such name").await,
             },
@@ -239,7 +268,9 @@
     pub(crate) fn state(&self) -> State {
         match self.tx {
             Transaction::None => State::Idle,
-            Transaction::Pending { .. } | Transaction::Open { .. } => State::Transaction,
+            Transaction::Pending { .. }
+            | Transaction::Open { .. }
+            | Transaction::Relayed { .. } => State::Transaction,
             Transaction::Failed => State::Failed,
         }
     }
--- a/crates/entry/src/data/task.rs
+++ b/crates/entry/src/data/task.rs
@@ -70,6 +70,10 @@
         Order::Lead { group, lead, planned, version } => {
             cx.group(&group).set_lead(lead, planned, version);
         }
+        Order::Carriers { here, choices } => {
+            cx.carries.set(here);
+            *cx.choices.borrow_mut() = choices;
+        }
         Order::Evacuate(evacuate) => {
             logs::event("evacuation", &serde_json::json!({"evacuate": evacuate}));
             cx.evacuate.set(evacuate);
--- a/crates/entry/src/messages.rs
+++ b/crates/entry/src/messages.rs
@@ -20,6 +20,9 @@
     /// Who is primary of a group; `None` while a change is under way. To be answered
     /// by [`Report::Applied`] when no older primary is used any more.
     Lead { group: String, lead: Option<MemberId>, planned: bool, version: u64 },
+    /// Whether this daemon carries sessions to members itself, and which carriers to
+    /// choose from otherwise.
+    Carriers { here: bool, choices: Vec<SocketAddr> },
     /// Whether idle sessions should go to other daemons, since this one cannot tell
     /// who is primary.
     Evacuate(bool),
@@ -34,6 +37,8 @@
     Applied { version: u64 },
     /// How the primary of a group does.
     Opinion { group: String, primary: MemberId, opinion: Opinion },
+    /// A session could not be had from a carrier, or broke.
+    CarrierFailed { sessions: SocketAddr },
     /// Every session has ended.
     Ended,
 }
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -14,6 +14,7 @@
 pub(crate) struct Shared {
     grant_until: AtomicU64,
     ready: AtomicBool,
+    passive: AtomicBool,
     counters: [AtomicU64; Counter::COUNT],
     latency: Mutex<Histogram<u64>>,
 }
@@ -57,6 +58,7 @@
         Shared {
             grant_until: AtomicU64::new(0),
             ready: AtomicBool::new(false),
+            passive: AtomicBool::new(false),
             counters: Default::default(),
             latency: Mutex::new(latency.expect("two significant digits are allowed")),
         }
@@ -80,6 +82,16 @@
         self.ready.store(ready, Ordering::Relaxed);
     }
 
+    /// Whether this daemon relies on carriers and need not follow the operator's and
+    /// the members' rows.
+    pub(crate) fn is_passive(&self) -> bool {
+        self.passive.load(Ordering::Relaxed)
+    }
+
+    pub(crate) fn set_passive(&self, passive: bool) {
+        self.passive.store(passive, Ordering::Relaxed);
+    }
+
     pub(crate) fn count(&self, counter: Counter) {
         self.counters[counter as usize].fetch_add(1, Ordering::Relaxed);
     }
--- a/crates/succession/src/lib.rs
+++ b/crates/succession/src/lib.rs
@@ -5,14 +5,16 @@
 //! **Architecture invariant:** no sockets, clocks or wire formats. Times are of a
 //! clock that runs on while the VM is suspended.
 
+mod carriers;
 mod grants;
 mod judge;
 mod records;
 mod succession;
 
 pub use crate::{
+    carriers::{CarrierPlaces, Carriers},
     grants::{GRANT, Grants},
     judge::{Opinion, Verdict, judge},
-    records::{DaemonRecord, DutyRecord, LeadRecord},
+    records::{CarrierRecord, DutyRecord, LeadRecord},
     succession::{Action, Candidate, Outcome, Status, Succession, View},
 };
--- a/crates/succession/src/records.rs
+++ b/crates/succession/src/records.rs
@@ -1,3 +1,5 @@
+use std::net::SocketAddr;
+
 /// Who makes the calls that one daemon at a time may make.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 #[derive(serde::Deserialize, serde::Serialize)]
@@ -24,12 +26,16 @@
     pub planned: bool,
 }
 
-/// A daemon that may use primaries.
+/// A carrier: a daemon that has connections to members and may use primaries.
 #[derive(Clone, Debug, Eq, PartialEq)]
 #[derive(serde::Deserialize, serde::Serialize)]
-pub struct DaemonRecord {
+pub struct CarrierRecord {
+    /// Its VM.
+    pub vm: String,
     /// Where it listens for the other daemons' heartbeats.
-    pub addr: String,
+    pub addr: SocketAddr,
+    /// Where it accepts sessions.
+    pub sessions: SocketAddr,
     /// Availability zone.
     pub zone: String,
 }
