--- a/crates/entry/src/control/task.rs
+++ b/crates/entry/src/control/task.rs
@@ -53,6 +53,9 @@
 const EVACUATE_AFTER: Span = Span::from_millis(2_000);
 /// How long an own opinion of a primary counts.
 const OPINION_FOR: Span = Span::from_millis(500);
+/// Carriers that are counted on at least, so that the first to start does not open
+/// connections that the others need a moment later.
+const FEWEST_CARRIERS: u32 = 4;
 /// Silence after which a carrier loses its place: longer than a restart with its
 /// grace, so that a VM that comes back carries on.
 const FORGET_CARRIER_AFTER: Span = Span::from_millis(9_000);
@@ -355,11 +358,15 @@
     /// Divides the members' connections among the daemons.
     fn share_out(&self) {
         let Some(config) = &self.config else { return };
-        let daemons = self.ledger.carrier_count();
+        let daemons = self.ledger.carrier_count().max(FEWEST_CARRIERS);
         for group in &config.groups {
             let slots = self.members.values().filter(|member| member.entry.group == group.name);
             let slots = slots.map(|member| member.entry.slots).max().unwrap_or(1);
-            let shares = Shares::new(group.connections, slots, daemons);
+            let shares = if self.carries {
+                Shares::new(group.connections, slots, daemons)
+            } else {
+                Shares::NONE
+            };
             self.order(Order::Shares { group: group.name.clone(), shares });
         }
     }
--- a/crates/pool/src/pool.rs
+++ b/crates/pool/src/pool.rs
@@ -50,7 +50,7 @@
     fn default() -> Pool {
         Pool {
             members: Vec::new(),
-            shares: Shares::new(0, 1, 1),
+            shares: Shares::NONE,
             lead: None,
             lead_until: Time::default(),
             scheduler: Scheduler::new(Policing::Full),
--- a/crates/pool/src/shares.rs
+++ b/crates/pool/src/shares.rs
@@ -17,6 +17,9 @@
 }
 
 impl Shares {
+    /// The part of a daemon that has no connections to members.
+    pub const NONE: Shares = Shares { kept: 0, most: 0, at_once: 0 };
+
     /// Divides a member's connections and slots among `daemons`.
     pub fn new(connections: u32, slots: u32, daemons: u32) -> Shares {
         let daemons = daemons.max(1);
