Carriers tell each other of rows; a relayed transaction stays with its carrier

Change: set-up is told whether a transaction is open; heartbeats carry the versions of the newest rows, and a carrier that lacks some fetches all rows from the other after 250 ms.

--- a/crates/entry/src/control/beat.rs
+++ b/crates/entry/src/control/beat.rs
@@ -18,8 +18,9 @@
     pub(crate) echo_run: u64,
     /// Version of the sender's rows in force.
     pub(crate) version: u64,
-    /// Version of the sender's configuration.
-    pub(crate) config: u64,
+    /// Versions of the newest rows of the operator, of the members, and of the project
+    /// that the sender knows.
+    pub(crate) newest: [u64; 3],
     /// How primaries do: group, member, opinion.
     pub(crate) opinions: Vec<(String, String, Opinion)>,
 }
--- a/crates/entry/src/control/event.rs
+++ b/crates/entry/src/control/event.rs
@@ -2,9 +2,13 @@
 
 use adapter::{CallError, Rows};
 use base::Time;
+use futures_channel::oneshot;
 use succession::{Outcome, Status};
 
-use crate::{control::beat::Beat, messages::Report};
+use crate::{
+    control::{beat::Beat, tables::TableCopy},
+    messages::Report,
+};
 
 /// What happens to the control thread.
 #[derive(Debug)]
@@ -17,6 +21,10 @@
         whole: bool,
         asked_at: Time,
     },
+    /// Another daemon asks for all rows.
+    RowsAsked(oneshot::Sender<Vec<TableCopy>>),
+    /// Another daemon's rows.
+    RowsOfPeer(Vec<TableCopy>),
     /// The store did not answer as hoped.
     StoreFailed { table: &'static str, error: CallError },
     /// A write to this project's rows has ended.
--- /dev/null
+++ b/crates/entry/src/control/exchange.rs
@@ -0,0 +1,81 @@
+use std::{io, net::SocketAddr, time::Duration};
+
+use futures_channel::{mpsc, oneshot};
+use futures_util::StreamExt;
+use tarpc::{
+    client, context,
+    server::{BaseChannel, Channel},
+    tokio_serde::formats::Bincode,
+    tokio_util::codec::LengthDelimitedCodec,
+};
+use tokio::{
+    net::{TcpListener, TcpStream},
+    time,
+};
+
+use crate::control::{event::Event, tables::TableCopy};
+
+/// Limit of a call: a copy of all rows is some 100 kB.
+const CALL_LIMIT: Duration = Duration::from_millis(1_000);
+/// Largest message: a configuration of thousands of routes.
+const MAX_CALL_BYTES: usize = 4 * 1024 * 1024;
+
+/// Calls that one carrier makes to another.
+#[tarpc::service]
+trait Exchange {
+    /// Asks for the store's rows as the other knows them.
+    async fn rows() -> Vec<TableCopy>;
+}
+
+#[derive(Clone, Debug)]
+struct Server {
+    events: mpsc::UnboundedSender<Event>,
+}
+
+impl Exchange for Server {
+    async fn rows(self, _: context::Context) -> Vec<TableCopy> {
+        let (tx, rx) = oneshot::channel();
+        // Both fail only while the process ends; then there is nothing to tell.
+        let _ = self.events.unbounded_send(Event::RowsAsked(tx));
+        rx.await.unwrap_or_default()
+    }
+}
+
+/// Answers the other carriers' calls until the process ends.
+pub(crate) async fn serve(
+    listener: TcpListener,
+    events: mpsc::UnboundedSender<Event>,
+) -> io::Result<()> {
+    loop {
+        let (stream, _) = listener.accept().await?;
+        let channel = BaseChannel::with_defaults(transport(stream)?);
+        let requests = channel.execute(Server { events: events.clone() }.serve());
+        tokio::spawn(requests.for_each(|response| async {
+            tokio::spawn(response);
+        }));
+    }
+}
+
+/// Asks a carrier for its rows; `None` if it does not answer in time.
+pub(crate) async fn rows(addr: SocketAddr) -> Option<Vec<TableCopy>> {
+    let call = async {
+        let stream = TcpStream::connect(addr).await.ok()?;
+        let transport = transport(stream).ok()?;
+        let client = ExchangeClient::new(client::Config::default(), transport).spawn();
+        client.rows(context::current()).await.ok()
+    };
+    time::timeout(CALL_LIMIT, call).await.ok().flatten()
+}
+
+type Transport<Item, SinkItem> =
+    tarpc::serde_transport::Transport<TcpStream, Item, SinkItem, Bincode<Item, SinkItem>>;
+
+fn transport<Item, SinkItem>(stream: TcpStream) -> io::Result<Transport<Item, SinkItem>>
+where
+    Item: for<'de> serde::Deserialize<'de>,
+    SinkItem: serde::Serialize,
+{
+    stream.set_nodelay(true)?;
+    let framed = LengthDelimitedCodec::builder().max_frame_length(MAX_CALL_BYTES).new_framed(stream);
+    Ok(tarpc::serde_transport::new(framed, Bincode::default()))
+}
--- a/crates/entry/src/control/ledger.rs
+++ b/crates/entry/src/control/ledger.rs
@@ -1,4 +1,4 @@
-use adapter::{Key, Row, Rows};
+use adapter::{Key, Row};
 use base::FastMap;
 use serde::de::DeserializeOwned;
 use succession::{CarrierRecord, DutyRecord, LeadRecord};
@@ -19,8 +19,6 @@
     pub(crate) leads: FastMap<String, (LeadRecord, u64)>,
     /// Carriers by their place.
     pub(crate) carriers: FastMap<String, (CarrierRecord, u64)>,
-    /// Newest version seen of each row, dropped ones too.
-    versions: FastMap<String, u64>,
 }
 
 /// What a row is about.
@@ -67,25 +65,16 @@
         vms.len() as u32
     }
 
-    /// Takes rows in; what changed by them.
-    pub(crate) fn take_in(&mut self, rows: &Rows, whole: bool) -> Vec<Changed> {
+    /// Takes in rows that are news; what changed by them.
+    pub(crate) fn take_in(&mut self, news: &[Row]) -> Vec<Changed> {
         let mut changed = Vec::new();
-        for row in &rows.rows {
+        for row in news {
             self.take_row(row, &mut changed);
         }
-        if whole {
-            self.known = true;
-            self.drop_missing(rows, &mut changed);
-        }
         changed
     }
 
     fn take_row(&mut self, row: &Row, changed: &mut Vec<Changed>) {
-        let seen = self.versions.entry(row.key.clone()).or_default();
-        if *seen >= row.version {
-            return;
-        }
-        *seen = row.version;
         self.version = self.version.max(row.version);
         let (value, version) = (row.value.as_deref(), row.version);
         if row.key == DUTY {
@@ -99,18 +88,6 @@
             changed.push(Changed::Carriers);
         }
     }
-
-    /// Drops carriers that a whole reading lacks. Other rows are never dropped.
-    fn drop_missing(&mut self, rows: &Rows, changed: &mut Vec<Changed>) {
-        let before = self.carriers.len();
-        self.carriers.retain(|place, (_, version)| {
-            let key = Ledger::carrier_key(place);
-            *version > rows.version || rows.rows.iter().any(|row| row.key == key)
-        });
-        if self.carriers.len() < before {
-            changed.push(Changed::Carriers);
-        }
-    }
 }
 
 fn put<T>(map: &mut FastMap<String, (T, u64)>, key: &str, value: Option<T>, version: u64) {
--- a/crates/entry/src/control/mod.rs
+++ b/crates/entry/src/control/mod.rs
@@ -2,11 +2,13 @@
 
 mod beat;
 mod event;
+mod exchange;
 mod http;
 mod ledger;
 mod member_calls;
 mod peers;
 mod stewardship;
+mod tables;
 mod task;
 mod watch;
 
--- /dev/null
+++ b/crates/entry/src/control/tables.rs
@@ -0,0 +1,84 @@
+use adapter::{Row, Rows};
+use base::FastMap;
+
+/// Rows of the store as last learnt, from the store itself or from another daemon.
+#[derive(Debug, Default)]
+pub(crate) struct Tables {
+    tables: FastMap<&'static str, Table>,
+}
+
+#[derive(Debug, Default)]
+struct Table {
+    /// Rows by key, dropped ones too.
+    rows: FastMap<String, Row>,
+    /// Version of the store that the rows reflect.
+    as_of: u64,
+    /// Version of the newest row.
+    newest: u64,
+}
+
+/// All rows of a table, for another daemon.
+#[derive(Clone, Debug)]
+#[derive(serde::Deserialize, serde::Serialize)]
+pub(crate) struct TableCopy {
+    pub(crate) table: String,
+    /// Version of the store that the rows reflect.
+    pub(crate) as_of: u64,
+    /// Key, value and version.
+    pub(crate) rows: Vec<(String, Vec<u8>, u64)>,
+}
+
+impl Tables {
+    /// Takes rows in; those that are news. A whole reading shows which rows are gone.
+    pub(crate) fn take_in(&mut self, table: &'static str, rows: Rows, whole: bool) -> Vec<Row> {
+        let table = self.tables.entry(table).or_default();
+        let mut news = Vec::new();
+        if whole {
+            let listed: Vec<&str> = rows.rows.iter().map(|row| row.key.as_str()).collect();
+            for known in table.rows.values_mut() {
+                let missing = !listed.contains(&known.key.as_str());
+                if missing && known.value.is_some() && known.version <= rows.version {
+                    *known = Row { value: None, version: rows.version, ..known.clone() };
+                    news.push(known.clone());
+                }
+            }
+        }
+        for row in rows.rows {
+            let known = table.rows.get(&row.key).map_or(0, |known| known.version);
+            if row.version > known {
+                table.newest = table.newest.max(row.version);
+                table.rows.insert(row.key.clone(), row.clone());
+                news.push(row);
+            }
+        }
+        table.as_of = table.as_of.max(rows.version);
+        news
+    }
+
+    /// Version of the newest row of a table.
+    pub(crate) fn newest(&self, table: &'static str) -> u64 {
+        self.tables.get(table).map_or(0, |table| table.newest)
+    }
+
+    /// All rows, for another daemon.
+    pub(crate) fn copies(&self) -> Vec<TableCopy> {
+        let copy = |(name, table): (&&'static str, &Table)| TableCopy {
+            table: (*name).to_owned(),
+            as_of: table.as_of,
+            rows: table
+                .rows
+                .values()
+                .filter_map(|row| Some((row.key.clone(), row.value.clone()?, row.version)))
+                .collect(),
+        };
+        self.tables.iter().map(copy).collect()
+    }
+}
+
+impl From<TableCopy> for Rows {
+    fn from(copy: TableCopy) -> Rows {
+        let rows = copy.rows.into_iter();
+        let rows = rows.map(|(key, value, version)| Row { key, value: Some(value), version });
+        Rows { rows: rows.collect(), version: copy.as_of }
+    }
+}
--- a/crates/entry/src/control/task.rs
+++ b/crates/entry/src/control/task.rs
@@ -1,7 +1,7 @@
 use std::{io, net::SocketAddr, path::Path, sync::Arc, time::Duration};
 
 use adapter::{
-    CallError, Change, Config, Duty, Group, Key, MemberEntry, MemberRole, MemberState, Rows,
+    CallError, Change, Config, Duty, Group, Key, MemberEntry, MemberRole, MemberState, Row, Rows,
     Settings, Store,
 };
 use base::{FastMap, MemberId, Span, Time};
@@ -9,16 +9,17 @@
 use futures_util::StreamExt;
 use pool::{MemberSpec, Shares};
 use succession::{Candidate, CarrierPlaces, CarrierRecord, Carriers, Grants, Opinion};
-use tokio::net::UdpSocket;
+use tokio::net::{TcpListener, UdpSocket};
 
 use crate::{
     clock,
     control::{
         beat::Beat,
         event::Event,
-        http,
+        exchange, http,
         ledger::{Changed, Ledger, TABLE},
         peers::Peers,
+        tables::{TableCopy, Tables},
         stewardship::{GroupView, Place, Stewardship, encode},
         watch,
     },
@@ -40,6 +41,9 @@
 /// The store is asked itself when the other daemons' answers keep the grant for less
 /// than this.
 const GRANT_LOW: Span = Span::from_millis(900);
+/// How long rows may be late that another daemon has already: the store tells both
+/// within some 10 ms.
+const BEHIND_FOR: Span = Span::from_millis(250);
 /// Time between such questions.
 const ASK_STORE_EVERY: Span = Span::from_millis(400);
 /// How long a member is kept whose entry is gone: entries that lapsed while the
@@ -75,6 +79,7 @@
     store: Store,
     socket: Arc<UdpSocket>,
     run: u64,
+    tables: Tables,
     ledger: Ledger,
     grants: Grants,
     peers: Peers,
@@ -90,6 +95,9 @@
     last_beat: Option<Time>,
     last_asked: Option<Time>,
     registering: Option<Time>,
+    /// Since when another daemon has had rows that this one lacks.
+    behind_since: Option<Time>,
+    last_copied: Option<Time>,
     /// Since when a place for a carrier has been free here.
     vacant_since: Option<Time>,
     carriers: Carriers,
@@ -124,6 +132,13 @@
     let addr = SocketAddr::new(settings.callers.ip(), settings.ports.0);
     let socket = Arc::new(UdpSocket::bind(addr).await?);
     tokio::spawn(listen(Arc::clone(&socket), tx.clone()));
+    let listener = TcpListener::bind(addr).await?;
+    let for_exchange = tx.clone();
+    tokio::spawn(async move {
+        if let Err(error) = exchange::serve(listener, for_exchange).await {
+            logs::error(&format!("calls of other daemons: {error}"));
+        }
+    });
     let store = Store::new(settings.store);
     for table in [OPERATOR, MEMBERS, TABLE] {
         tokio::spawn(watch::follow(store.clone(), table, Arc::clone(&shared), tx.clone()));
@@ -186,6 +201,7 @@
             store,
             socket,
             run,
+            tables: Tables::default(),
             ledger: Ledger::default(),
             grants: Grants::default(),
             peers: Peers::default(),
@@ -199,6 +215,8 @@
             last_beat: None,
             last_asked: None,
             registering: None,
+            behind_since: None,
+            last_copied: None,
             vacant_since: None,
             carriers: Carriers::default(),
             carries: false,
@@ -219,15 +237,19 @@
                     self.store_lost = false;
                     logs::event("dependency regained", &serde_json::json!({"store": table}));
                 }
-                match table {
-                    OPERATOR => {
-                        self.config_current |= self.active_since.is_none_or(|at| asked_at >= at);
-                        self.take_config(&rows);
-                    }
-                    MEMBERS => self.take_members(&rows, whole),
-                    _ => self.take_ledger(&rows, whole, asked_at),
+                if table == OPERATOR {
+                    self.config_current |= self.active_since.is_none_or(|at| asked_at >= at);
                 }
+                self.take_rows(table, rows, whole);
+                if table == TABLE {
+                    self.grants.store_answered(asked_at, self.ledger.version);
+                }
+            }
+            Event::RowsAsked(tx) => {
+                // Whoever asked may be gone by now.
+                let _ = tx.send(self.tables.copies());
             }
+            Event::RowsOfPeer(copies) => self.take_copies(copies),
             Event::StoreFailed { table, error } => {
                 if !self.store_lost && !matches!(error, CallError::HistoryGone) {
                     self.store_lost = true;
@@ -276,8 +298,35 @@
         self.steer(now);
     }
 
-    fn take_config(&mut self, rows: &Rows) {
-        let newest = rows.rows.iter().filter(|row| row.key == CONFIG).max_by_key(|row| row.version);
+    fn take_copies(&mut self, copies: Vec<TableCopy>) {
+        for copy in copies {
+            let known = [OPERATOR, MEMBERS, TABLE].into_iter().find(|table| *table == copy.table);
+            if let Some(table) = known {
+                self.take_rows(table, Rows::from(copy), true);
+            }
+        }
+    }
+
+    fn take_rows(&mut self, table: &'static str, rows: Rows, whole: bool) {
+        let news = self.tables.take_in(table, rows, whole);
+        if !news.is_empty() {
+            self.behind_since = None;
+        }
+        match table {
+            OPERATOR => self.take_config(&news),
+            MEMBERS => {
+                self.members_known |= whole;
+                self.take_members(&news);
+            }
+            _ => {
+                self.ledger.known |= whole;
+                self.take_ledger(&news);
+            }
+        }
+    }
+
+    fn take_config(&mut self, news: &[Row]) {
+        let newest = news.iter().filter(|row| row.key == CONFIG).max_by_key(|row| row.version);
         let Some(bytes) = newest.and_then(|row| row.value.as_deref()) else { return };
         let config = match Config::decode(bytes) {
             Ok(config) => config,
@@ -296,9 +345,12 @@
         self.share_out();
     }
 
-    fn take_members(&mut self, rows: &Rows, whole: bool) {
+    fn take_members(&mut self, news: &[Row]) {
+        if news.is_empty() {
+            return;
+        }
         let now = clock::now();
-        for row in &rows.rows {
+        for row in news {
             match &row.value {
                 Some(bytes) => match MemberEntry::decode(&row.key, bytes) {
                     Some(entry) => {
@@ -309,14 +361,6 @@
                 None => self.mark_gone(&row.key, now),
             }
         }
-        if whole {
-            self.members_known = true;
-            let listed = |id: &String| rows.rows.iter().any(|row| row.key == *id);
-            let missing: Vec<_> = self.members.keys().filter(|id| !listed(id)).cloned().collect();
-            for id in missing {
-                self.mark_gone(&id, now);
-            }
-        }
         self.tell_members();
     }
 
@@ -371,8 +415,8 @@
         }
     }
 
-    fn take_ledger(&mut self, rows: &Rows, whole: bool, asked_at: Time) {
-        for changed in self.ledger.take_in(rows, whole) {
+    fn take_ledger(&mut self, news: &[Row]) {
+        for changed in self.ledger.take_in(news) {
             match changed {
                 Changed::Duty => {
                     self.steward.duty_changed(self.ledger.duty.as_ref().map(|(duty, _)| duty));
@@ -382,7 +426,6 @@
             }
         }
         self.settle_applied();
-        self.grants.store_answered(asked_at, self.ledger.version);
     }
 
     fn lead_changed(&mut self, group: &str) {
@@ -465,7 +508,7 @@
             echo,
             echo_run,
             version: self.applied,
-            config: self.config.as_ref().map_or(0, |config| config.version),
+            newest: [OPERATOR, MEMBERS, TABLE].map(|table| self.tables.newest(table)),
             opinions: opinions.to_vec(),
         }
     }
@@ -482,12 +525,35 @@
         if let Some(asked_at) = asked_at {
             self.grants.peer_answered(&beat.from, asked_at, beat.version);
         }
-        let behind = beat.version > self.ledger.version
-            || self.config.as_ref().is_some_and(|config| beat.config > config.version);
-        if behind {
-            // The feed brings it in a moment, unless its connection went silent.
-            self.last_asked = self.last_asked.filter(|at| now.since(*at) < ASK_STORE_EVERY);
+        self.catch_up(now, beat);
+    }
+
+    /// Asks a carrier for rows that the store should have told of long ago.
+    fn catch_up(&mut self, now: Time, beat: &Beat) {
+        let own = [OPERATOR, MEMBERS, TABLE].map(|table| self.tables.newest(table));
+        let behind = beat.newest.iter().zip(own).any(|(theirs, own)| *theirs > own);
+        if !behind || !self.carries {
+            return;
         }
+        let since = *self.behind_since.get_or_insert(now);
+        let late = now.since(since) >= BEHIND_FOR;
+        let lately = self.last_copied.is_some_and(|at| now.since(at) < ASK_STORE_EVERY);
+        let Some(peer) = self.peers.peers.get(&beat.from).filter(|_| late && !lately) else {
+            return;
+        };
+        self.behind_since = None;
+        self.last_copied = Some(now);
+        logs::event(
+            "rows of another daemon wanted",
+            &serde_json::json!({"from": beat.from, "theirs": beat.newest, "own": own}),
+        );
+        let (addr, events) = (peer.addr, self.events.clone());
+        tokio::spawn(async move {
+            if let Some(copies) = exchange::rows(addr).await {
+                // Fails only while the process ends.
+                let _ = events.unbounded_send(Event::RowsOfPeer(copies));
+            }
+        });
     }
 
     /// Asks the store itself while the other daemons' answers do not suffice.
--- a/crates/entry/src/data/relay.rs
+++ b/crates/entry/src/data/relay.rs
@@ -81,7 +81,7 @@
             }
             Transaction::Relayed { wrote } => {
                 let wrote = wrote || verb == Verb::Store;
-                if let Err(error) = self.set_up_there(shape, None).await {
+                if let Err(error) = self.set_up_there(true, shape, None).await {
                     return self.not_begun(id, &error).await;
                 }
                 self.tx = Transaction::Relayed { wrote };
@@ -150,7 +150,7 @@
         let mut tries = 0;
         loop {
             tries += 1;
-            if let Err(error) = self.set_up_there(shape, None).await {
+            if let Err(error) = self.set_up_there(false, shape, None).await {
                 if tries < MAX_TRIES {
                     continue;
                 }
@@ -216,7 +216,7 @@
         let begin = if read_only { "BEGIN FETCH" } else { "BEGIN" };
         let mut result = Err(MemberError::Silent);
         for _ in 0..MAX_TRIES {
-            result = self.set_up_there(shape, Some((begin, after))).await;
+            result = self.set_up_there(false, shape, Some((begin, after))).await;
             if result.is_ok() {
                 break;
             }
@@ -228,10 +228,11 @@
     /// transaction. Nothing of the caller's has run if it fails.
     async fn set_up_there(
         &mut self,
+        in_transaction: bool,
         shape: Option<&Shape>,
         begin: Option<(&'static str, Option<Position>)>,
     ) -> Result<(), MemberError> {
-        let in_transaction = matches!(self.tx, Transaction::Relayed { .. });
+        // A transaction stays where it was begun.
         if !in_transaction {
             self.ready_carrier().await?;
         }
