--- a/crates/entry/src/control/exchange.rs
+++ b/crates/entry/src/control/exchange.rs
@@ -76,6 +76,7 @@
     SinkItem: serde::Serialize,
 {
     stream.set_nodelay(true)?;
-    let framed = LengthDelimitedCodec::builder().max_frame_length(MAX_CALL_BYTES).new_framed(stream);
+    let framed =
+        LengthDelimitedCodec::builder().max_frame_length(MAX_CALL_BYTES).new_framed(stream);
     Ok(tarpc::serde_transport::new(framed, Bincode::default()))
 }
--- a/crates/entry/src/control/stewardship.rs
+++ b/crates/entry/src/control/stewardship.rs
@@ -113,10 +113,7 @@
         self.holder_heard = now;
         let mine = duty.is_some_and(|duty| duty.holder == self.vm && duty.run == self.run);
         if mine && self.held_since.is_none() {
-            logs::event(
-                "duty taken",
-                &serde_json::json!({"token": duty.map(|duty| duty.token)}),
-            );
+            logs::event("duty taken", &serde_json::json!({"token": duty.map(|duty| duty.token)}));
             self.held_since = Some(now);
         } else if !mine && self.held_since.take().is_some() {
             logs::event("duty lost", &serde_json::json!({"holder": duty.map(|duty| &duty.holder)}));
@@ -194,8 +191,7 @@
             None if now.since(self.started) < turn + NEXT_IN_LINE => return,
             None => (1, 0),
         };
-        let record =
-            DutyRecord { holder: self.vm.clone(), run: self.run, token, confirmed: 0 };
+        let record = DutyRecord { holder: self.vm.clone(), run: self.run, token, confirmed: 0 };
         logs::event(
             "taking the duty",
             &serde_json::json!({"token": token, "reason": "its holder is silent or unknown"}),
--- a/crates/entry/src/control/task.rs
+++ b/crates/entry/src/control/task.rs
@@ -19,8 +19,8 @@
         exchange, http,
         ledger::{Changed, Ledger, TABLE},
         peers::Peers,
-        tables::{TableCopy, Tables},
         stewardship::{GroupView, Place, Stewardship, encode},
+        tables::{TableCopy, Tables},
         watch,
     },
     messages::{Order, Report},
@@ -559,7 +559,11 @@
     /// Asks the store itself while the other daemons' answers do not suffice.
     fn ask_store(&mut self, now: Time) {
         let lately = self.last_asked.is_some_and(|at| now.since(at) < ASK_STORE_EVERY);
-        if lately || !self.carries || !self.ledger.known || self.grants.peers_suffice(now, GRANT_LOW) {
+        if lately
+            || !self.carries
+            || !self.ledger.known
+            || self.grants.peers_suffice(now, GRANT_LOW)
+        {
             return;
         }
         self.last_asked = Some(now);
@@ -735,9 +739,10 @@
             addr: member.entry.addr,
         });
         let primary = self.ledger.leads.get(&group.name).map(|(record, _)| record.primary.as_str());
-        let opinion = self.opinions.get(&group.name).filter(|(of, _, at)| {
-            Some(of.as_str()) == primary && now.since(*at) < OPINION_FOR
-        });
+        let opinion = self
+            .opinions
+            .get(&group.name)
+            .filter(|(of, _, at)| Some(of.as_str()) == primary && now.since(*at) < OPINION_FOR);
         GroupView {
             name: &group.name,
             sync_replicas: group.sync_replicas,
--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -81,7 +81,8 @@
             .enable_all()
             .build()
             .context(SystemSnafu { what: "starting the control thread" })?;
-        runtime.block_on(control::run(settings, shared, orders, events_rx))
+        runtime
+            .block_on(control::run(settings, shared, orders, events_rx))
             .context(SystemSnafu { what: "binding the control addresses" })?;
         logs::event("stop", &serde_json::json!({}));
         Ok(())
--- a/crates/entry/src/data/group.rs
+++ b/crates/entry/src/data/group.rs
@@ -43,7 +43,7 @@
 struct State {
     pool: Pool,
     lead: Option<MemberId>,
-    idle: FastMap<u64, MemberConn>,
+    idle: FastMap<u64, Box<MemberConn>>,
     addrs: FastMap<MemberId, SocketAddr>,
     waiting: FastMap<u64, oneshot::Sender<Granted>>,
     /// A planned change that waits for transactions to end: its version, and until
@@ -178,7 +178,7 @@
     }
 
     /// Puts a connection back that can be used again.
-    pub(crate) fn give_back(self: &Rc<Group>, member: &MemberId, conn: MemberConn) {
+    pub(crate) fn give_back(self: &Rc<Group>, member: &MemberId, conn: Box<MemberConn>) {
         let mut out = Vec::new();
         {
             let mut state = self.state.borrow_mut();
@@ -263,7 +263,7 @@
         match opened {
             Ok((conn, position)) => {
                 let mut state = self.state.borrow_mut();
-                state.idle.insert(number, conn);
+                state.idle.insert(number, Box::new(conn));
                 if !state.pool.opened(clock::now(), &member, number) {
                     state.idle.remove(&number);
                 }
--- a/crates/entry/src/data/lease.rs
+++ b/crates/entry/src/data/lease.rs
@@ -17,7 +17,7 @@
     group: Rc<Group>,
     req: u64,
     pub(crate) member: MemberId,
-    conn: Option<MemberConn>,
+    conn: Option<Box<MemberConn>>,
     number: u64,
     /// Epoch of the primary when the lease began.
     pub(crate) epoch: u64,
@@ -32,7 +32,7 @@
         group: Rc<Group>,
         req: u64,
         member: MemberId,
-        conn: Option<MemberConn>,
+        conn: Option<Box<MemberConn>>,
     ) -> Lease {
         let counts = group.is_lead(&member);
         if counts {
@@ -40,7 +40,17 @@
         }
         let number = conn.as_ref().map_or(0, |conn| conn.number);
         let epoch = group.epoch();
-        Lease { req, member, conn, number, epoch, counts, running: true, began: clock::now(), group }
+        Lease {
+            req,
+            member,
+            conn,
+            number,
+            epoch,
+            counts,
+            running: true,
+            began: clock::now(),
+            group,
+        }
     }
 
     /// Whether it leads to the primary that was in force when it began.
@@ -50,12 +60,12 @@
 
     /// The connection, if it is still good.
     pub(crate) fn conn(&mut self) -> Result<&mut MemberConn, MemberError> {
-        self.conn.as_mut().ok_or(MemberError::Silent)
+        self.conn.as_deref_mut().ok_or(MemberError::Silent)
     }
 
     /// Whether the member closed the connection while it was idle.
     pub(crate) fn is_spoilt(&mut self) -> bool {
-        self.conn.as_mut().is_none_or(MemberConn::is_spoilt)
+        self.conn.as_deref_mut().is_none_or(MemberConn::is_spoilt)
     }
 
     /// Notes that a statement is about to be sent.
--- a/crates/entry/src/data/serve.rs
+++ b/crates/entry/src/data/serve.rs
@@ -338,8 +338,7 @@
             self.mark = self.mark.max(answer.position.unwrap_or_default());
         } else {
             let on_primary = lease.on_primary();
-            let counter =
-                if on_primary { Counter::PrimaryReads } else { Counter::ReplicaReads };
+            let counter = if on_primary { Counter::PrimaryReads } else { Counter::ReplicaReads };
             self.cx.shared.count(counter);
         }
         if answer.state == State::Idle {
--- a/crates/entry/src/data/session.rs
+++ b/crates/entry/src/data/session.rs
@@ -184,9 +184,7 @@
             }
         };
         let over = self.cx.all_end.clone().map(drop);
-        let over = async move {
-            if open { over.await } else { future::pending().await }
-        };
+        let over = async move { if open { over.await } else { future::pending().await } };
         let (rest, over) = (pin!(rest), pin!(over));
         let over = future::select(rest, over);
         if let Either::Left((filled, _)) = future::select(pin!(self.conn.fill()), over).await {
@@ -286,7 +284,12 @@
     }
 
     /// Answers with an error. A transaction has failed with it.
-    pub(crate) async fn fail(&mut self, id: &str, code: Code, reason: &str) -> Result<(), WireError> {
+    pub(crate) async fn fail(
+        &mut self,
+        id: &str,
+        code: Code,
+        reason: &str,
+    ) -> Result<(), WireError> {
         if !matches!(self.tx, Transaction::None) {
             self.abandon_transaction();
         }
@@ -309,7 +312,10 @@
         .await
     }
 
-    pub(crate) async fn reply(&mut self, fill: impl FnOnce(&mut BytesMut)) -> Result<(), WireError> {
+    pub(crate) async fn reply(
+        &mut self,
+        fill: impl FnOnce(&mut BytesMut),
+    ) -> Result<(), WireError> {
         let mut buf = BytesMut::new();
         fill(&mut buf);
         self.conn.queue_bytes(&buf);
--- a/crates/entry/src/messages.rs
+++ b/crates/entry/src/messages.rs
@@ -11,10 +11,7 @@
     /// A newer configuration is in force.
     Config(Arc<Config>),
     /// The members of a group.
-    Members {
-        group: String,
-        members: Vec<(MemberSpec, SocketAddr)>,
-    },
+    Members { group: String, members: Vec<(MemberSpec, SocketAddr)> },
     /// This daemon's part of each member of a group.
     Shares { group: String, shares: Shares },
     /// Who is primary of a group; `None` while a change is under way. To be answered
--- a/crates/pool/src/pool.rs
+++ b/crates/pool/src/pool.rs
@@ -327,7 +327,8 @@
     fn free(&self, now: Time, lane: Lane) -> Option<u32> {
         let lead = self.lead(now);
         let members = self.members.iter().filter(|member| member.usable(now));
-        let fitting = members.filter(|member| lane == Lane::Replica || Some(&member.spec.id) == lead);
+        let fitting =
+            members.filter(|member| lane == Lane::Replica || Some(&member.spec.id) == lead);
         let free: u32 = fitting.map(|member| member.room(self.shares.at_once)).sum();
         (free > 0).then_some(free)
     }
--- a/crates/succession/src/succession.rs
+++ b/crates/succession/src/succession.rs
@@ -186,9 +186,9 @@
             }
             Phase::Promoting { to, since, accepted } => {
                 let chosen = view.members.iter().find(|member| member.id == *to);
-                let leads = chosen.and_then(|member| member.status).is_some_and(|status| {
-                    status.primary && status.asked_at >= *since
-                });
+                let leads = chosen
+                    .and_then(|member| member.status)
+                    .is_some_and(|status| status.primary && status.asked_at >= *since);
                 if *accepted && leads {
                     let record =
                         LeadRecord { primary: to.clone(), changing: false, planned: false };
--- /dev/null
+++ b/crates/succession/tests/carriers.rs
@@ -0,0 +1,52 @@
+//! Which carrier a daemon relays to.
+
+use std::net::SocketAddr;
+
+use base::{Span, Time};
+use succession::{CarrierPlaces, CarrierRecord, Carriers};
+
+fn record(vm: &str, zone: &str, port: u16) -> CarrierRecord {
+    let addr = |port| SocketAddr::from(([127, 0, 0, 1], port));
+    CarrierRecord {
+        vm: vm.to_owned(),
+        addr: addr(port),
+        sessions: addr(port + 1),
+        zone: zone.to_owned(),
+    }
+}
+
+fn ports(carriers: &Carriers, now: Time) -> Vec<u16> {
+    let mut ports: Vec<_> = carriers.choices(now, "a").iter().map(|addr| addr.port()).collect();
+    ports.sort_unstable();
+    ports
+}
+
+#[test]
+fn near_carriers_come_first_then_any_then_all() {
+    let records = [record("1", "a", 10), record("2", "a", 20), record("3", "b", 30)];
+    let start = Time::from_micros(1_000_000);
+    let mut carriers = Carriers::default();
+    carriers.set(start, records.iter());
+    assert_eq!(ports(&carriers, start), [11, 21]);
+    carriers.failed(start, records[0].sessions);
+    assert_eq!(ports(&carriers, start), [21]);
+    let later = start + Span::from_millis(1_400);
+    carriers.heard(later, "3");
+    assert_eq!(ports(&carriers, later), [31]);
+    let much_later = later + Span::from_millis(5_000);
+    assert_eq!(ports(&carriers, much_later), [11, 21, 31]);
+    carriers.heard(much_later, "1");
+    assert_eq!(ports(&carriers, much_later), [11]);
+}
+
+#[test]
+fn places_follow_the_members_connections() {
+    let check = |connections, zones, expected| {
+        assert_eq!(CarrierPlaces::new(connections, zones).numbers().count(), expected);
+    };
+    check(21, 4, 2);
+    check(50, 3, 3);
+    check(51, 4, 2);
+    check(176, 4, 3);
+    check(100_000, 10, 2);
+}
