--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -85,6 +85,7 @@
             .block_on(control::run(settings, shared, orders, events_rx))
             .context(SystemSnafu { what: "binding the control addresses" })?;
         logs::event("stop", &serde_json::json!({}));
+        logs::flush();
         Ok(())
     }
 }
--- a/crates/entry/src/data/group.rs
+++ b/crates/entry/src/data/group.rs
@@ -51,6 +51,23 @@
     stopping: Option<(u64, Time)>,
 }
 
+/// What a daemon believes of a group.
+#[derive(Debug)]
+#[derive(serde::Serialize)]
+pub(crate) struct Belief {
+    name: String,
+    /// `None` while a change is under way.
+    primary: Option<MemberId>,
+    epoch: u64,
+    /// How much longer the primary may be used without further evidence.
+    grant_left_ms: u64,
+    /// How long the primary has answered nothing although it was asked.
+    primary_silent_ms: Option<u64>,
+    /// Requests that wait here, and statements that run.
+    waiting: usize,
+    running: u32,
+}
+
 /// Answer to a request for a connection.
 #[derive(Debug)]
 pub(crate) enum Granted {
@@ -147,6 +164,24 @@
         self.epoch.get() == epoch && clock::now() < self.cx.shared.grant_until()
     }
 
+    /// What this daemon believes of the group, for the log.
+    pub(crate) fn belief(&self) -> Belief {
+        let state = self.state.borrow();
+        let now = clock::now();
+        let primary = state.lead.clone();
+        let silence = primary.as_ref().map(|primary| state.pool.silence(now, primary).as_millis());
+        let (waiting, running) = state.pool.load();
+        Belief {
+            name: self.name.clone(),
+            primary,
+            epoch: self.epoch.get(),
+            grant_left_ms: self.cx.shared.grant_until().since(now).as_millis(),
+            primary_silent_ms: silence,
+            waiting,
+            running,
+        }
+    }
+
     /// Whether a primary is known, but this daemon may not use it at present.
     pub(crate) fn lacks_grant(&self) -> bool {
         self.state.borrow().lead.is_some() && clock::now() >= self.cx.shared.grant_until()
--- a/crates/entry/src/data/serve.rs
+++ b/crates/entry/src/data/serve.rs
@@ -125,6 +125,11 @@
                 return self.fail(turn.id, code, reason).await;
             }
             self.cx.shared.count(Counter::Retried);
+            logs::event(
+                "tried again",
+                &serde_json::json!({"request": turn.id, "code": code.as_str(), "reason": reason,
+                    "required": required.map(|position| position.to_string()), "tries": tries}),
+            );
             if code != Code::Lagging {
                 time::sleep(RETRY_PAUSE).await;
             }
@@ -358,11 +363,7 @@
     ) -> Result<(), WireError> {
         self.cx.shared.note_latency(clock::now().since(began));
         if let Err((code, text)) = &answer.result {
-            logs::event(
-                "member answered with an error",
-                &serde_json::json!({"request": id, "database": self.database,
-                    "code": code.as_str(), "text": text}),
-            );
+            self.log_outcome(id, code.as_str(), &format!("a member's or carrier's word: {text}"));
         }
         let state = self.state();
         self.reply(|buf| {
--- a/crates/entry/src/data/session.rs
+++ b/crates/entry/src/data/session.rs
@@ -299,11 +299,7 @@
             _ => Counter::Refused,
         };
         self.cx.shared.count(counter);
-        logs::event(
-            "answered with an error",
-            &serde_json::json!({"request": id, "database": self.database,
-                "code": code.as_str(), "reason": reason}),
-        );
+        self.log_outcome(id, code.as_str(), reason);
         let state = self.state();
         self.reply(|buf| {
             write::error(buf, code, reason);
@@ -312,6 +308,19 @@
         .await
     }
 
+    /// Writes why a request got the answer it got, with what this daemon believed then.
+    pub(crate) fn log_outcome(&self, id: &str, outcome: &str, reason: &str) {
+        let route = self.cx.route(&self.database);
+        let group = route.as_ref().map(|(route, _)| self.cx.group(&route.group));
+        let belief = group.map(|group| group.belief());
+        logs::event(
+            "answered",
+            &serde_json::json!({"request": id, "database": self.database, "outcome": outcome,
+                "reason": reason, "relayed": self.relayed, "mark": self.mark.to_string(),
+                "config": route.map(|(_, version)| version), "group": belief}),
+        );
+    }
+
     pub(crate) async fn reply(
         &mut self,
         fill: impl FnOnce(&mut BytesMut),
--- a/crates/logs/src/init.rs
+++ b/crates/logs/src/init.rs
@@ -1,9 +1,9 @@
-use std::sync::Arc;
+use std::{io, sync::Arc};
 
 use snafu::{ResultExt, Snafu};
-use spdlog::sink;
+use spdlog::sink::GetSinkProp;
 
-use crate::json_lines::JsonLines;
+use crate::{bounded::Bounded, json_lines::JsonLines};
 
 /// Least severity that is written.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
@@ -28,17 +28,21 @@
         /// The library's own error.
         source: spdlog::Error,
     },
+    /// The thread that writes could not be started.
+    #[snafu(display("logging: {source}"))]
+    Thread {
+        /// The system's error.
+        source: io::Error,
+    },
 }
 
-/// Sends JSON lines of at least `level` to standard output.
+/// Sends JSON lines of at least `level` to standard output. A reader that is too slow
+/// misses lines and is told how many; nothing waits for it.
 pub fn init(level: Level) -> Result<(), InitError> {
-    let sink = sink::StdStreamSink::builder()
-        .stdout()
-        .formatter(JsonLines)
-        .build_arc()
-        .context(LibrarySnafu)?;
+    let sink = Bounded::new(io::stdout()).context(ThreadSnafu)?;
+    sink.prop().set_formatter(JsonLines);
     let logger = spdlog::Logger::builder()
-        .sink(sink)
+        .sink(Arc::new(sink))
         .level_filter(filter(level))
         .build()
         .context(LibrarySnafu)?;
@@ -46,6 +50,11 @@
     Ok(())
 }
 
+/// Waits, for a moment at most, until what was logged is written.
+pub fn flush() {
+    spdlog::default_logger().flush();
+}
+
 /// Writes a record of kind `kind` with its fields at level info.
 pub fn event(kind: &str, fields: &impl serde::Serialize) {
     if !spdlog::default_logger().should_log(spdlog::Level::Info) {
