--- a/crates/entry/src/control/stewardship.rs
+++ b/crates/entry/src/control/stewardship.rs
@@ -4,8 +4,8 @@
 use base::{FastMap, Span, Time};
 use futures_channel::mpsc;
 use succession::{
-    Action, Candidate, DutyRecord, GRANT, LeadRecord, Outcome, Status, Succession, Verdict, View,
-    judge,
+    Action, Candidate, DutyRecord, LeadRecord, Outcome, Status, Succession, Verdict, View,
+    have_stopped, is_majority, judge,
 };
 
 use crate::{
@@ -29,11 +29,6 @@
 const FIRST_CALL_AFTER: Span = Span::from_millis(1_000);
 /// How long a confirmed hold lets a call be sent.
 const CONFIRMED_FOR: Span = Span::from_millis(300);
-/// What is added to a grant before a daemon that cannot be asked counts as stopped.
-const GRANT_MARGIN: Span = Span::from_millis(150);
-/// How long a daemon waits before it counts the silence of one that has never shown
-/// that it knows it.
-const UNKNOWN_FOR: Span = Span::from_millis(60_000);
 /// Pause after a write whose outcome is open; the rows tell meanwhile.
 const WRITE_AGAIN: Span = Span::from_millis(400);
 
@@ -53,8 +48,8 @@
     statuses: FastMap<String, Status>,
     /// When the present record of a group was learnt.
     learnt: FastMap<String, Time>,
-    /// Daemons that have shown that they know this one.
-    known_by: FastMap<String, u64>,
+    /// Since when a majority has a version of a group's record in force.
+    majorities: FastMap<String, (u64, Time)>,
 }
 
 /// A member that may lead, with its address.
@@ -96,7 +91,7 @@
             successions: FastMap::default(),
             statuses: FastMap::default(),
             learnt: FastMap::default(),
-            known_by: FastMap::default(),
+            majorities: FastMap::default(),
         }
     }
 
@@ -147,7 +142,6 @@
     /// this daemon's.
     pub(crate) fn tick(&mut self, ledger: &Ledger, peers: &Peers, groups: &[GroupView<'_>]) {
         let now = clock::now();
-        self.note_who_knows(ledger, peers);
         if self.held_since.is_none() {
             self.consider_taking(now, ledger, peers);
             return;
@@ -157,15 +151,6 @@
         }
     }
 
-    fn note_who_knows(&mut self, ledger: &Ledger, peers: &Peers) {
-        let Some((_, _, own)) = ledger.carrier(&self.vm) else { return };
-        for (name, peer) in &peers.peers {
-            if peer.version >= own {
-                self.known_by.insert(name.clone(), own);
-            }
-        }
-    }
-
     fn consider_taking(&mut self, now: Time, ledger: &Ledger, peers: &Peers) {
         if !ledger.known || ledger.carrier(&self.vm).is_none() || self.is_writing(now) {
             return;
@@ -257,10 +242,10 @@
         }
     }
 
-    /// Whether every daemon has the change in force, or cannot use a primary any more
-    /// because its grant has lapsed.
+    /// Whether no carrier uses the primary any more that version `version` of the
+    /// group's record ended.
     fn all_stopped(
-        &self,
+        &mut self,
         now: Time,
         version: u64,
         group: &str,
@@ -268,18 +253,23 @@
         peers: &Peers,
     ) -> bool {
         let learnt = self.learnt.get(group).copied().unwrap_or(now);
-        ledger.carriers.values().map(|(record, _)| &record.vm).all(|name| {
-            if *name == self.vm {
-                return now >= learnt && ledger.version >= version;
-            }
-            let Some(peer) = peers.peers.get(name) else { return false };
-            if peer.version >= version && peer.heard_within(now, GRANT) {
-                return true;
+        let mut vms: Vec<_> = ledger.carriers.values().map(|(record, _)| &record.vm).collect();
+        vms.sort_unstable();
+        vms.dedup();
+        let stopped = vms.iter().filter(|vm| {
+            let peer = peers.peers.get(**vm);
+            **vm == &self.vm || peer.is_some_and(|peer| peer.version >= version)
+        });
+        let stopped = stopped.count();
+        let majority = is_majority(vms.len(), stopped);
+        let since = majority.then(|| {
+            let (of, since) = self.majorities.entry(group.to_owned()).or_insert((version, now));
+            if *of != version {
+                (*of, *since) = (version, now);
             }
-            let known = self.known_by.contains_key(name);
-            let wait = if known { GRANT } else { UNKNOWN_FOR };
-            now.since(learnt) >= wait + GRANT_MARGIN
-        })
+            *since
+        });
+        have_stopped(now, vms.len(), stopped, since, learnt)
     }
 
     fn write_lead(
--- a/crates/entry/src/control/task.rs
+++ b/crates/entry/src/control/task.rs
@@ -60,9 +60,9 @@
 /// Carriers that are counted on at least, so that the first to start does not open
 /// connections that the others need a moment later.
 const FEWEST_CARRIERS: u32 = 4;
-/// Silence after which a carrier loses its place: longer than a restart with its
-/// grace, so that a VM that comes back carries on.
-const FORGET_CARRIER_AFTER: Span = Span::from_millis(9_000);
+/// Silence after which a carrier loses its place: longer than the others' answers can
+/// stand in for the store, so that lists of carriers differ little while they do.
+const FORGET_CARRIER_AFTER: Span = Span::from_millis(14_000);
 /// Processor time, in cores, from which a VM takes a place at once.
 const LARGE_CORES: f64 = 0.25;
 /// How long smaller VMs leave a free place to larger ones, which start meanwhile.
