End-to-end tests of the daemon against a stand-in of the platform on loopback

Six cases: statements, transactions, values and names; crash of the primary; a configuration in force; one daemon without the store; two daemons that stand in for it; a planned stop. Found by them: a carrier that lost the race for a place waited 0.4 s for the next one; it tries again at once now.

--- a/crates/entry/src/control/task.rs
+++ b/crates/entry/src/control/task.rs
@@ -640,6 +640,10 @@
             &serde_json::json!({"what": what, "reason": error.to_string()}),
         );
         self.steward.write_failed();
+        if matches!(error, CallError::Conflict) {
+            // Another carrier was faster; the next place may be free.
+            self.registering = None;
+        }
         // The rows as they are now tell whether it came about all the same.
         self.last_asked = None;
     }
--- /dev/null
+++ b/crates/entry/tests/platform.rs
@@ -0,0 +1,174 @@
+//! The real daemon against a stand-in of the users' platform, on loopback.
+
+mod support;
+
+use std::{
+    thread,
+    time::{Duration, Instant},
+};
+
+use support::{Client, Daemon, World};
+
+/// The users' bound for a change of primary.
+const CHANGE_LIMIT: Duration = Duration::from_secs(6);
+/// How long a configuration may take to be in force.
+const CONFIG_LIMIT: Duration = Duration::from_secs(3);
+const PAUSE: Duration = Duration::from_millis(20);
+
+fn eventually(limit: Duration, what: &str, mut holds: impl FnMut() -> bool) {
+    let end = Instant::now() + limit;
+    while !holds() {
+        assert!(Instant::now() < end, "{what}: not within {limit:?}");
+        thread::sleep(PAUSE);
+    }
+}
+
+fn client(daemon: &Daemon, database: &str) -> Client {
+    Client::connect(daemon.callers, database).expect("a session")
+}
+
+/// Waits until the primary is known and may be used.
+fn wait_for_writes(daemon: &Daemon) {
+    let mut client = client(daemon, "orders");
+    eventually(Duration::from_secs(15), "a first write", || {
+        client.query("STORE warm up").result.is_ok()
+    });
+}
+
+#[test]
+fn statements_transactions_values_and_names_work() {
+    let world = World::new();
+    let daemon = Daemon::start("d1", "127.0.1.1", 0.25, world.platform);
+    daemon.wait_ready();
+    wait_for_writes(&daemon);
+    let (mut one, mut other) = (client(&daemon, "orders"), client(&daemon, "lookups"));
+    assert!(one.query("STORE lot-1 oak tree").result.is_ok());
+    assert_eq!(one.query("FETCH lot-1").rows, ["oak tree"]);
+
+    assert_eq!(one.query("BEGIN").state, "T");
+    assert!(one.query("STORE lot-2 elm").result.is_ok());
+    assert_eq!(world.item("lot-2"), None);
+    let commit = one.query("COMMIT");
+    assert_eq!((commit.result, commit.state.as_str()), (Ok("m1.sig".to_owned()), "I"));
+    assert_eq!(world.item("lot-2").as_deref(), Some("elm"));
+
+    one.query("BEGIN");
+    one.query("STORE lot-3 ash");
+    assert_eq!(one.query("ROLLBACK").state, "I");
+    assert_eq!(world.item("lot-3"), None);
+
+    one.query("SET region south");
+    one.query("PREPARE s1 STORE shape");
+    other.query("PREPARE s1 FETCH shape");
+    assert!(one.query("EXECUTE s1 lot-4 fir").result.is_ok());
+    assert_eq!(other.query("EXECUTE s1 lot-4").rows, ["fir"]);
+    assert_eq!(one.query("FETCH values").rows, [r#"{"region": "south"}"#]);
+    assert_eq!(other.query("FETCH values").rows, ["{}"]);
+    one.query("DEALLOC s1");
+    assert!(one.query("EXECUTE s1 lot-4 x").result.unwrap_err().starts_with("NOSTMT"));
+    assert!(one.query("NONSENSE").result.unwrap_err().starts_with("MALFORMED"));
+}
+
+#[test]
+fn a_crashed_primary_is_replaced_and_no_write_is_lost() {
+    let world = World::new();
+    let daemon = Daemon::start("d1", "127.0.1.2", 0.25, world.platform);
+    daemon.wait_ready();
+    wait_for_writes(&daemon);
+    let mut session = client(&daemon, "orders");
+    let mut acknowledged = Vec::new();
+    for number in 0..20 {
+        if session.query(&format!("STORE before-{number} x")).result.is_ok() {
+            acknowledged.push(format!("before-{number}"));
+        }
+    }
+    world.crash("m1");
+    let mut number = 0;
+    eventually(CHANGE_LIMIT, "a write after the crash", || {
+        number += 1;
+        let item = format!("after-{number}");
+        let done = session.query(&format!("STORE {item} x")).result.is_ok();
+        if done {
+            acknowledged.push(item);
+        }
+        done
+    });
+    assert_ne!(world.primary(), "m1");
+    for item in acknowledged {
+        assert_eq!(world.item(&item).as_deref(), Some("x"), "{item}");
+    }
+}
+
+#[test]
+fn configurations_come_into_force_and_unknown_names_are_refused() {
+    let mut world = World::new();
+    let daemon = Daemon::start("d1", "127.0.1.3", 0.25, world.platform);
+    daemon.wait_ready();
+    let refusal = Client::connect(daemon.callers, "nobody").err().expect("a refusal");
+    assert!(refusal.starts_with("ERROR NODB"), "{refusal}");
+    world.configure(&["orders", "lookups", "nobody"]);
+    eventually(CONFIG_LIMIT, "a new name", || Client::connect(daemon.callers, "nobody").is_ok());
+    let mut session = client(&daemon, "lookups");
+    world.configure(&["orders"]);
+    eventually(CONFIG_LIMIT, "a dropped name", || {
+        session.query("FETCH x").result.is_err_and(|error| error.starts_with("NODB"))
+    });
+}
+
+#[test]
+fn a_daemon_alone_stops_using_the_primary_when_the_store_is_gone() {
+    let world = World::new();
+    let daemon = Daemon::start("d1", "127.0.1.4", 0.25, world.platform);
+    daemon.wait_ready();
+    wait_for_writes(&daemon);
+    let mut session = client(&daemon, "orders");
+    world.store.set_down(true);
+    eventually(Duration::from_secs(4), "a refusal", || {
+        session.query("STORE a x").result.is_err_and(|error| error.starts_with("READONLY"))
+    });
+    assert!(!daemon.is_ready());
+    world.store.set_down(false);
+    eventually(Duration::from_secs(4), "writes again", || {
+        session.query("STORE a x").result.is_ok()
+    });
+}
+
+#[test]
+fn two_daemons_stand_in_for_the_store_and_see_each_others_writes() {
+    let world = World::new();
+    let one = Daemon::start("d1", "127.0.1.5", 0.25, world.platform);
+    let two = Daemon::start("d2", "127.0.1.6", 0.25, world.platform);
+    for daemon in [&one, &two] {
+        daemon.wait_ready();
+        wait_for_writes(daemon);
+    }
+    eventually(Duration::from_secs(3), "two carriers", || {
+        world.store.count("corianderwharf", "carrier/") == 2
+    });
+    // Until each has had an answer of the other.
+    thread::sleep(Duration::from_secs(1));
+    world.store.set_down(true);
+    thread::sleep(Duration::from_secs(3));
+    let (mut here, mut there) = (client(&one, "orders"), client(&two, "orders"));
+    for number in 0..50 {
+        assert!(here.query(&format!("STORE lot {number}")).result.is_ok());
+        assert_eq!(there.query("FETCH lot").rows, [number.to_string()]);
+    }
+}
+
+#[test]
+fn a_planned_stop_lets_a_transaction_end_and_leaves_in_order() {
+    let world = World::new();
+    let mut daemon = Daemon::start("d1", "127.0.1.7", 0.25, world.platform);
+    daemon.wait_ready();
+    wait_for_writes(&daemon);
+    let mut session = client(&daemon, "orders");
+    session.query("BEGIN");
+    assert!(session.query("STORE last one").result.is_ok());
+    daemon.terminate();
+    eventually(Duration::from_secs(1), "not ready", || !daemon.is_ready());
+    assert!(session.query("COMMIT").result.is_ok());
+    assert_eq!(world.item("last").as_deref(), Some("one"));
+    drop(session);
+    assert!(daemon.wait());
+}
