--- a/crates/entry/src/control/watch.rs
+++ b/crates/entry/src/control/watch.rs
@@ -16,6 +16,9 @@
 /// The same for a daemon that relies on carriers: a list of carriers that is out of
 /// date shows when they do not answer.
 const PASSIVE_WAIT: Duration = Duration::from_millis(20_000);
+/// Pause of such a daemon between two calls, so that changes that come together cost
+/// each of many daemons one call.
+const PASSIVE_PAUSE: Duration = Duration::from_millis(2_000);
 /// How often such a daemon looks whether it has become a carrier.
 const PASSIVE_LOOK: Duration = Duration::from_millis(250);
 /// Pauses after a failed call, shortest and longest. Each daemon asks at its own
@@ -37,7 +40,11 @@
                 after = None;
             }
         }
-        let wait = if shared.is_passive() { PASSIVE_WAIT } else { FEED_WAIT };
+        let passive = shared.is_passive();
+        if passive {
+            tokio::time::sleep(PASSIVE_PAUSE).await;
+        }
+        let wait = if passive { PASSIVE_WAIT } else { FEED_WAIT };
         let asked_at = clock::now();
         shared.count(Counter::StoreCalls);
         let (result, whole) = match after {
