--- a/crates/entry/src/control/mod.rs
+++ b/crates/entry/src/control/mod.rs
@@ -7,6 +7,7 @@
 mod ledger;
 mod member_calls;
 mod peers;
+mod pending;
 mod stewardship;
 mod tables;
 mod task;
--- a/crates/entry/src/control/task.rs
+++ b/crates/entry/src/control/task.rs
@@ -19,6 +19,7 @@
         exchange, http,
         ledger::{Changed, Ledger, TABLE},
         peers::Peers,
+        pending::Pending,
         stewardship::{GroupView, Place, Stewardship, encode},
         tables::{TableCopy, Tables},
         watch,
@@ -87,8 +88,7 @@
     config: Option<Arc<Config>>,
     members: FastMap<String, Member>,
     members_known: bool,
-    /// Versions of orders about primaries that are not in force yet.
-    pending: Vec<u64>,
+    pending: Pending,
     /// Version of the rows in force here.
     applied: u64,
     opinions: FastMap<String, (MemberId, Opinion, Time)>,
@@ -209,7 +209,7 @@
             config: None,
             members: FastMap::default(),
             members_known: false,
-            pending: Vec::new(),
+            pending: Pending::default(),
             applied: 0,
             opinions: FastMap::default(),
             last_beat: None,
@@ -261,8 +261,8 @@
             }
             Event::Written { what, result } => self.written(what, result),
             Event::Beat(beat, from) => self.heard(&beat, from),
-            Event::Data(Report::Applied { version }) => {
-                self.pending.retain(|pending| *pending != version);
+            Event::Data(Report::Applied { group, version }) => {
+                self.pending.applied(&group, version);
                 self.settle_applied();
             }
             Event::Data(Report::Opinion { group, primary, opinion }) => {
@@ -437,7 +437,7 @@
             &serde_json::json!({"group": group, "primary": record.primary,
                 "changing": record.changing, "version": version}),
         );
-        self.pending.push(*version);
+        self.pending.ordered(group, *version);
         let (planned, version) = (record.planned, *version);
         self.order(Order::Lead { group: group.to_owned(), lead, planned, version });
     }
@@ -459,10 +459,7 @@
 
     /// Tells the others at once when newer rows are in force.
     fn settle_applied(&mut self) {
-        let applied = match self.pending.iter().min() {
-            Some(pending) => pending - 1,
-            None => self.ledger.version,
-        };
+        let applied = self.pending.in_force(self.ledger.version);
         if applied > self.applied {
             self.applied = applied;
             self.grants.applied(applied);
--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -1,4 +1,4 @@
-use std::{io, net::TcpListener, path, sync::Arc, thread};
+use std::{io, mem, net::TcpListener, path, process, sync::Arc, thread};
 
 use adapter::Settings;
 use futures_channel::mpsc;
@@ -90,10 +90,25 @@
     }
 }
 
+/// Ends the process when the data thread fails, so that it starts anew instead of
+/// telling the platform that it is ready.
+struct EndsProcess;
+
+impl Drop for EndsProcess {
+    fn drop(&mut self) {
+        logs::error("the data thread has failed; the process ends with it");
+        logs::flush();
+        process::exit(1);
+    }
+}
+
 fn data_thread(setup: data::Setup) {
+    let ends_process = EndsProcess;
     let runtime = monoio::RuntimeBuilder::<LegacyDriver>::new().enable_timer().build();
-    match runtime {
-        Ok(mut runtime) => runtime.block_on(data::run(setup)),
+    let ended = runtime.and_then(|mut runtime| runtime.block_on(data::run(setup)));
+    match ended {
+        // The control thread has ended as planned.
+        Ok(()) => mem::forget(ends_process),
         Err(error) => logs::error(&format!("data thread: {error}")),
     }
 }
--- a/crates/entry/src/data/group.rs
+++ b/crates/entry/src/data/group.rs
@@ -114,7 +114,7 @@
             self.state.borrow_mut().stopping = Some((version, until));
         } else {
             self.epoch.set(self.epoch.get() + 1);
-            self.report(Report::Applied { version });
+            self.report(Report::Applied { group: self.name.clone(), version });
         }
         self.pump();
     }
@@ -232,7 +232,7 @@
         }
         self.state.borrow_mut().stopping = None;
         self.epoch.set(self.epoch.get() + 1);
-        self.report(Report::Applied { version });
+        self.report(Report::Applied { group: self.name.clone(), version });
     }
 
     fn refresh_lead(&self, state: &mut State) {
--- a/crates/entry/src/data/task.rs
+++ b/crates/entry/src/data/task.rs
@@ -1,4 +1,4 @@
-use std::{net::TcpListener as StdListener, rc::Rc, sync::Arc, time::Duration};
+use std::{io, net::TcpListener as StdListener, rc::Rc, sync::Arc, time::Duration};
 
 use base::{Span, Time};
 use futures_channel::mpsc;
@@ -38,17 +38,17 @@
     pub(crate) shared: Arc<Shared>,
 }
 
-/// Serves callers until the process ends.
-pub(crate) async fn run(setup: Setup) {
+/// Serves callers until the control thread ends.
+///
+/// # Errors
+///
+/// If the address for callers cannot be listened on.
+pub(crate) async fn run(setup: Setup) -> io::Result<()> {
     let Setup { vm, grace, listener, mut orders, events, shared } = setup;
     let (cx, ends) = Context::new(vm, shared, events);
     let (cx, mut ends) = (Rc::new(cx), Some(ends));
-    match TcpListener::from_std(listener) {
-        Ok(listener) => {
-            monoio::spawn(session::listen(Rc::clone(&cx), listener));
-        }
-        Err(error) => return logs::error(&format!("listening: {error}")),
-    }
+    let listener = TcpListener::from_std(listener)?;
+    monoio::spawn(session::listen(Rc::clone(&cx), listener));
     monoio::spawn(tick(Rc::clone(&cx)));
     while let Some(order) = orders.next().await {
         match order {
@@ -60,6 +60,7 @@
             order => carry_out(&cx, order),
         }
     }
+    Ok(())
 }
 
 fn carry_out(cx: &Rc<Context>, order: Order) {
--- a/crates/entry/src/messages.rs
+++ b/crates/entry/src/messages.rs
@@ -31,7 +31,7 @@
 #[derive(Debug)]
 pub(crate) enum Report {
     /// An order about a primary is in force.
-    Applied { version: u64 },
+    Applied { group: String, version: u64 },
     /// How the primary of a group does.
     Opinion { group: String, primary: MemberId, opinion: Opinion },
     /// A session could not be had from a carrier, or broke.
