--- a/crates/cli/src/args.rs
+++ b/crates/cli/src/args.rs
@@ -81,6 +81,12 @@
         word.ok_or_else(|| ArgsError { message: format!("{what} is needed") })
     }
 
+    /// The value of an option that must be present, to be asked for after
+    /// [`Args::finish`], so that an unknown argument is named first.
+    pub fn needed<T>(option: &str, value: Option<T>) -> Result<T, ArgsError> {
+        value.ok_or_else(|| ArgsError { message: format!("{option}: a value is needed") })
+    }
+
     /// Refuses whatever has not been taken, by name.
     pub fn finish(self) -> Result<(), ArgsError> {
         let rest = self.inner.finish();
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -28,9 +28,10 @@
 }
 
 fn run(mut args: Args) -> Result<(), Failure> {
-    let file: path::PathBuf = args.required("--settings")?;
+    let file: Option<path::PathBuf> = args.option("--settings")?;
     let check = args.flag("--check");
     args.finish()?;
+    let file = Args::needed("--settings", file)?;
     let settings = Settings::load(&file).map_err(Failure::new)?;
     if check {
         return Ok(());
--- a/crates/entry/src/main.rs
+++ b/crates/entry/src/main.rs
@@ -33,10 +33,7 @@
     let check = args.flag("--check");
     args.finish()?;
     let file = file.or_else(|| env::var_os(Settings::FILE_VARIABLE).map(path::PathBuf::from));
-    let Some(file) = file else {
-        let message = format!("--settings is needed where {} is not set", Settings::FILE_VARIABLE);
-        return Err(Failure::new(cli::ArgsError::new(message)));
-    };
+    let file = Args::needed("--settings", file)?;
     let settings = Settings::load(&file).map_err(Failure::new)?;
     if check {
         return Ok(());
--- a/crates/standins/src/main.rs
+++ b/crates/standins/src/main.rs
@@ -23,9 +23,10 @@
 }
 
 fn run(mut args: Args) -> Result<(), Failure> {
-    let file: path::PathBuf = args.required("--deployment")?;
+    let file: Option<path::PathBuf> = args.option("--deployment")?;
     let check = args.flag("--check");
     args.finish()?;
+    let file = Args::needed("--deployment", file)?;
     let deployment = Deployment::load(&file).map_err(Failure::new)?;
     if check {
         return Ok(());
