A holder of the duty without the store counts as silent

Ruled out: acknowledgements of the change (the carriers without the store get the rows from the others). Change: heartbeats say whether the store answers the sender; the holder asks it each 0.8 s. Test: control/peers/tests.rs. An answer that comes too late for a grant is now logged as such.

--- a/crates/entry/src/control/beat.rs
+++ b/crates/entry/src/control/beat.rs
@@ -10,6 +10,8 @@
     pub(crate) run: u64,
     /// Whether the sender is a carrier; the others only ask.
     pub(crate) carries: bool,
+    /// Whether the store answers the sender, so that it can change primaries.
+    pub(crate) acts: bool,
     /// Number of this heartbeat.
     pub(crate) number: u64,
     /// Number of the last heartbeat that the sender had from the receiver.
--- a/crates/entry/src/control/peers.rs
+++ b/crates/entry/src/control/peers.rs
@@ -24,6 +24,8 @@
     pub(crate) addr: SocketAddr,
     pub(crate) run: u64,
     pub(crate) heard: Option<Time>,
+    /// When it last said that it can change primaries.
+    able: Option<Time>,
     /// Version of its rows in force.
     pub(crate) version: u64,
     last_number: u64,
@@ -61,6 +63,9 @@
         peer.run = beat.run;
         peer.last_number = beat.number;
         peer.heard = Some(now);
+        if beat.acts {
+            peer.able = Some(now);
+        }
         peer.version = beat.version;
         peer.opinions.clone_from(&beat.opinions);
         if beat.echo_run != own_run {
@@ -69,9 +74,10 @@
         self.sent.iter().find(|(number, _)| *number == beat.echo).map(|(_, at)| *at)
     }
 
-    /// When a run of a daemon was last heard of.
-    pub(crate) fn heard(&self, name: &str, run: u64) -> Option<Time> {
-        self.peers.get(name).filter(|peer| peer.run == run)?.heard
+    /// When a run of a daemon was last able to change primaries: heard of, and with the
+    /// store answering it.
+    pub(crate) fn able(&self, name: &str, run: u64) -> Option<Time> {
+        self.peers.get(name).filter(|peer| peer.run == run)?.able
     }
 
     /// What the others think of a group's primary.
@@ -87,7 +93,15 @@
 
 impl Peer {
     fn new(addr: SocketAddr) -> Peer {
-        Peer { addr, run: 0, heard: None, version: 0, last_number: 0, opinions: Vec::new() }
+        Peer {
+            addr,
+            run: 0,
+            heard: None,
+            able: None,
+            version: 0,
+            last_number: 0,
+            opinions: Vec::new(),
+        }
     }
 
     pub(crate) fn heard_within(&self, now: Time, span: Span) -> bool {
@@ -99,3 +113,6 @@
         (self.last_number, self.run)
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/entry/src/control/stewardship.rs
+++ b/crates/entry/src/control/stewardship.rs
@@ -18,8 +18,8 @@
     },
 };
 
-/// Silence of the duty's holder after which another daemon takes it: several
-/// heartbeats.
+/// How long the duty's holder may be silent, or without the store, before another
+/// daemon takes it: several heartbeats.
 const HOLDER_SILENT: Span = Span::from_millis(1_000);
 /// Between daemons that would take the duty, so that the first has taken it before
 /// the next tries.
@@ -42,7 +42,7 @@
     events: mpsc::UnboundedSender<Event>,
     started: Time,
     held_since: Option<Time>,
-    holder_heard: Time,
+    holder_able: Time,
     write_until: Option<Time>,
     successions: FastMap<String, Succession>,
     statuses: FastMap<String, Status>,
@@ -86,7 +86,7 @@
             events,
             started: now,
             held_since: None,
-            holder_heard: now,
+            holder_able: now,
             write_until: None,
             successions: FastMap::default(),
             statuses: FastMap::default(),
@@ -105,7 +105,7 @@
     pub(crate) fn duty_changed(&mut self, duty: Option<&DutyRecord>) {
         self.write_until = None;
         let now = clock::now();
-        self.holder_heard = now;
+        self.holder_able = now;
         let mine = duty.is_some_and(|duty| duty.holder == self.vm && duty.run == self.run);
         if mine && self.held_since.is_none() {
             logs::event("duty taken", &serde_json::json!({"token": duty.map(|duty| duty.token)}));
@@ -164,11 +164,11 @@
         let turn = Span::from_micros(NEXT_IN_LINE.as_micros() * before);
         let (token, version) = match &ledger.duty {
             Some((duty, version)) => {
-                let heard = peers.heard(&duty.holder, duty.run);
-                self.holder_heard = self.holder_heard.max(heard.unwrap_or_default());
+                let able = peers.able(&duty.holder, duty.run);
+                self.holder_able = self.holder_able.max(able.unwrap_or_default());
                 // A holder whose VM has another run by now is gone for certain, yet
                 // its last call may be under way: the same wait.
-                if now.since(self.holder_heard) < HOLDER_SILENT + turn {
+                if now.since(self.holder_able) < HOLDER_SILENT + turn {
                     return;
                 }
                 (duty.token + 1, *version)
@@ -179,7 +179,7 @@
         let record = DutyRecord { holder: self.vm.clone(), run: self.run, token, confirmed: 0 };
         logs::event(
             "taking the duty",
-            &serde_json::json!({"token": token, "reason": "its holder is silent or unknown"}),
+            &serde_json::json!({"token": token, "reason": "its holder is silent, unknown or without the store"}),
         );
         let change = Change::default()
             .with_expected(Ledger::duty_key(), version)
--- a/crates/entry/src/control/task.rs
+++ b/crates/entry/src/control/task.rs
@@ -42,6 +42,11 @@
 /// The store is asked itself when the other daemons' answers keep the grant for less
 /// than this.
 const GRANT_LOW: Span = Span::from_millis(900);
+/// Time between questions of the duty's holder, which must know whether it can act.
+const HOLDER_ASKS_EVERY: Span = Span::from_millis(800);
+/// How long an answer of the store shows that it answers: two such questions and the
+/// limit of a call.
+const STORE_ANSWERS: Span = Span::from_millis(2_000);
 /// How long rows may be late that another daemon has already: the store tells both
 /// within some 10 ms.
 const BEHIND_FOR: Span = Span::from_millis(250);
@@ -108,6 +113,8 @@
     active_since: Option<Time>,
     config_current: bool,
     store_lost: bool,
+    /// When the store last answered.
+    store_at: Option<Time>,
     stopping: bool,
     /// When the grant was last good.
     granted_at: Option<Time>,
@@ -224,6 +231,7 @@
             active_since: None,
             config_current: true,
             store_lost: false,
+            store_at: None,
             stopping: false,
             granted_at: None,
             evacuates: false,
@@ -233,6 +241,7 @@
     fn handle(&mut self, event: Event) {
         match event {
             Event::Rows { table, rows, whole, asked_at } => {
+                self.store_at = Some(clock::now());
                 if self.store_lost {
                     self.store_lost = false;
                     logs::event("dependency regained", &serde_json::json!({"store": table}));
@@ -501,6 +510,7 @@
             from: self.settings.vm.clone(),
             run: self.run,
             carries: self.carries,
+            acts: self.store_at.is_some_and(|at| clock::now().since(at) < STORE_ANSWERS),
             number,
             echo,
             echo_run,
@@ -553,14 +563,14 @@
         });
     }
 
-    /// Asks the store itself while the other daemons' answers do not suffice.
+    /// Asks the store itself while the other daemons' answers do not suffice, and, as
+    /// the duty's holder, to know whether it answers.
     fn ask_store(&mut self, now: Time) {
-        let lately = self.last_asked.is_some_and(|at| now.since(at) < ASK_STORE_EVERY);
-        if lately
-            || !self.carries
-            || !self.ledger.known
-            || self.grants.peers_suffice(now, GRANT_LOW)
-        {
+        let suffice = self.grants.peers_suffice(now, GRANT_LOW);
+        let every = if suffice { HOLDER_ASKS_EVERY } else { ASK_STORE_EVERY };
+        let lately = self.last_asked.is_some_and(|at| now.since(at) < every);
+        let wanted = !suffice || self.steward.holds();
+        if lately || !wanted || !self.carries || !self.ledger.known {
             return;
         }
         self.last_asked = Some(now);
--- a/crates/entry/src/data/serve.rs
+++ b/crates/entry/src/data/serve.rs
@@ -31,6 +31,10 @@
 /// How long an answer is still read that nobody waits for any more.
 const DRAIN_LIMIT: Duration = Duration::from_millis(1_500);
 
+/// Why a success of a write is not passed on.
+const LATE_FOR_GRANT: &str =
+    "the answer came when the primary was replaced or this daemon's grant had lapsed";
+
 /// Why a statement for the primary is refused at once; other daemons may know better.
 const NO_GRANT: &str = "this daemon cannot tell at present who is primary";
 
@@ -337,8 +341,7 @@
         let wrote = turn.verb == Verb::Store && answer.result.is_ok();
         if wrote && !group.leads(lease.epoch) {
             lease.give_back();
-            let reason = "the primary was replaced before the answer came";
-            return self.fail(turn.id, Code::InDoubt, reason).await;
+            return self.fail(turn.id, Code::InDoubt, LATE_FOR_GRANT).await;
         }
         if wrote {
             self.mark = self.mark.max(answer.position.unwrap_or_default());
@@ -537,8 +540,7 @@
         }
         if answer.result.is_ok() && writes {
             if !leads {
-                let reason = "the primary was replaced before the answer came";
-                return self.fail(turn.id, Code::InDoubt, reason).await;
+                return self.fail(turn.id, Code::InDoubt, LATE_FOR_GRANT).await;
             }
             self.mark = self.mark.max(answer.position.unwrap_or_default());
         }
