--- a/crates/entry/tests/command_line.rs
+++ b/crates/entry/tests/command_line.rs
@@ -7,9 +7,9 @@
         .args(args)
         .env_remove("CORIANDERWHARF_NODE_FILE")
         .output()
-        .unwrap();
+        .expect("the set-up of the test works");
     let text = [out.stdout, out.stderr].concat();
-    (out.status.code(), String::from_utf8(text).unwrap())
+    (out.status.code(), String::from_utf8(text).expect("the set-up of the test works"))
 }
 
 #[test]
@@ -25,9 +25,10 @@
     assert_eq!(code, Some(2), "{text}");
     assert!(text.contains("--settings"), "{text}");
     let file = std::env::temp_dir().join(format!("entry-wrong-{}.toml", std::process::id()));
-    fs::write(&file, "node_name = 7\n").unwrap();
-    let (code, text) = run(&["--check", "--settings", file.to_str().unwrap()]);
-    fs::remove_file(&file).unwrap();
+    fs::write(&file, "node_name = 7\n").expect("the set-up of the test works");
+    let (code, text) =
+        run(&["--check", "--settings", file.to_str().expect("the set-up of the test works")]);
+    fs::remove_file(&file).expect("the set-up of the test works");
     assert_eq!(code, Some(1), "{text}");
     assert!(text.contains("node_name"), "{text}");
 }
--- a/crates/entry/tests/support/client.rs
+++ b/crates/entry/tests/support/client.rs
@@ -24,8 +24,10 @@
     /// Opens a session; what the daemon said instead if it refused.
     pub fn connect(addr: SocketAddr, database: &str) -> Result<Client, String> {
         let stream = TcpStream::connect(addr).map_err(|error| error.to_string())?;
-        stream.set_read_timeout(Some(Duration::from_secs(20))).unwrap();
-        let lines = BufReader::new(stream.try_clone().unwrap());
+        stream
+            .set_read_timeout(Some(Duration::from_secs(20)))
+            .expect("the set-up of the test works");
+        let lines = BufReader::new(stream.try_clone().expect("the set-up of the test works"));
         let mut client = Client { stream, lines, next: 0 };
         client.send(&format!("STARTUP {database} test"));
         let line = client.line();
@@ -46,7 +48,8 @@
                 "COMPLETE" => reply.result = Ok(rest.to_owned()),
                 "ERROR" => reply.result = Err(rest.to_owned()),
                 "READY" => {
-                    reply.state = rest.split(' ').next().unwrap().to_owned();
+                    reply.state =
+                        rest.split(' ').next().expect("the set-up of the test works").to_owned();
                     return reply;
                 }
                 other => panic!("unexpected: {other:?}"),
@@ -61,7 +64,7 @@
 
     fn line(&mut self) -> String {
         let mut line = String::new();
-        self.lines.read_line(&mut line).unwrap();
+        self.lines.read_line(&mut line).expect("the set-up of the test works");
         line.trim_end().to_owned()
     }
 }
--- a/crates/entry/tests/support/daemon.rs
+++ b/crates/entry/tests/support/daemon.rs
@@ -23,7 +23,7 @@
 impl Daemon {
     /// Starts a daemon; `ip` must be its own, in the loopback range.
     pub fn start(name: &str, ip: &str, cores: f64, platform: SocketAddr) -> Daemon {
-        let ip: IpAddr = ip.parse().unwrap();
+        let ip: IpAddr = ip.parse().expect("the set-up of the test works");
         let (callers, readiness) = (free(ip), free(ip));
         let inner = free_for_datagrams(ip).port();
         let text = format!(
@@ -34,13 +34,13 @@
              [cloud_api]\naddr = \"{platform}\"\n"
         );
         let settings = std::env::temp_dir().join(format!("entry-{}-{callers}.toml", name));
-        fs::write(&settings, text).unwrap();
+        fs::write(&settings, text).expect("the set-up of the test works");
         let child = Command::new(env!("CARGO_BIN_EXE_corianderwharf-entry"))
             .arg("--settings")
             .arg(&settings)
             .stdout(Stdio::null())
             .spawn()
-            .unwrap();
+            .expect("the set-up of the test works");
         Daemon { child, callers, readiness, settings }
     }
 
@@ -66,12 +66,18 @@
     /// Sends SIGTERM to the process.
     pub fn terminate(&self) {
         let pid = self.child.id().to_string();
-        assert!(Command::new("kill").arg(&pid).status().unwrap().success());
+        assert!(
+            Command::new("kill")
+                .arg(&pid)
+                .status()
+                .expect("the set-up of the test works")
+                .success()
+        );
     }
 
     /// Waits for the end; whether it was an orderly one.
     pub fn wait(&mut self) -> bool {
-        self.child.wait().unwrap().success()
+        self.child.wait().expect("the set-up of the test works").success()
     }
 }
 
@@ -85,9 +91,15 @@
 }
 
 fn free(ip: IpAddr) -> SocketAddr {
-    TcpListener::bind((ip, 0)).unwrap().local_addr().unwrap()
+    TcpListener::bind((ip, 0))
+        .expect("the set-up of the test works")
+        .local_addr()
+        .expect("the set-up of the test works")
 }
 
 fn free_for_datagrams(ip: IpAddr) -> SocketAddr {
-    UdpSocket::bind((ip, 0)).unwrap().local_addr().unwrap()
+    UdpSocket::bind((ip, 0))
+        .expect("the set-up of the test works")
+        .local_addr()
+        .expect("the set-up of the test works")
 }
--- a/crates/entry/tests/support/member.rs
+++ b/crates/entry/tests/support/member.rs
@@ -1,5 +1,5 @@
 use std::{
-    collections::{BTreeMap, HashMap},
+    collections::BTreeMap,
     net::SocketAddr,
     sync::{Arc, Mutex},
 };
@@ -21,7 +21,7 @@
 /// What a member holds.
 #[derive(Clone, Default)]
 pub struct Log {
-    pub items: HashMap<String, String>,
+    pub items: BTreeMap<String, String>,
     pub term: u64,
     pub number: u64,
 }
@@ -37,20 +37,21 @@
     /// Statements of the open transaction, `None` outside of one.
     writes: Option<Vec<(String, String)>>,
     values: BTreeMap<String, String>,
-    names: HashMap<String, String>,
+    names: BTreeMap<String, String>,
 }
 
 impl Member {
     /// Starts a member that knows its group.
     pub async fn start(id: &str, service: &str, group: Arc<Mutex<Group>>) -> Member {
-        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-        let addr = listener.local_addr().unwrap();
+        let listener =
+            TcpListener::bind("127.0.0.1:0").await.expect("the set-up of the test works");
+        let addr = listener.local_addr().expect("the set-up of the test works");
         let (alive, ended) = watch::channel(true);
         let mut stopped = ended.clone();
         let (id, service) = (id.to_owned(), service.to_owned());
         let accept = async move {
             loop {
-                let (stream, _) = listener.accept().await.unwrap();
+                let (stream, _) = listener.accept().await.expect("the set-up of the test works");
                 let (id, service, group) = (id.clone(), service.clone(), Arc::clone(&group));
                 let mut ended = ended.clone();
                 tokio::spawn(async move {
@@ -104,21 +105,26 @@
 }
 
 fn ready(session: &Session, group: &Mutex<Group>, id: &str) -> String {
-    let group = group.lock().unwrap();
+    let group = group.lock().expect("nobody panicked");
     let log = &group.members[id];
     let state = if session.writes.is_some() { "T" } else { "I" };
     format!("READY {state} {}.{}\r\n", log.term, log.number)
 }
 
 fn run(session: &mut Session, group: &Mutex<Group>, id: &str, text: &str) -> String {
-    let mut group = group.lock().unwrap();
+    let mut group = group.lock().expect("nobody panicked");
     let leads = group.primary == id;
     let log = group.members[id].clone();
     let text = match text.strip_prefix("AFTER ") {
         Some(rest) => {
-            let (position, rest) = rest.split_once(' ').unwrap();
-            let (term, number) = position.split_once('.').unwrap();
-            if (log.term, log.number) < (term.parse().unwrap(), number.parse().unwrap()) {
+            let (position, rest) = rest.split_once(' ').expect("the set-up of the test works");
+            let (term, number) = position.split_once('.').expect("the set-up of the test works");
+            if (log.term, log.number)
+                < (
+                    term.parse().expect("the set-up of the test works"),
+                    number.parse().expect("the set-up of the test works"),
+                )
+            {
                 return "ERROR LAGGING behind\r\n".to_owned();
             }
             rest
--- a/crates/entry/tests/support/store.rs
+++ b/crates/entry/tests/support/store.rs
@@ -1,5 +1,5 @@
 use std::{
-    collections::{BTreeMap, HashMap},
+    collections::BTreeMap,
     net::SocketAddr,
     sync::{Arc, Mutex},
     time::Duration,
@@ -37,10 +37,12 @@
 impl Store {
     /// Serves the store on a port of its own.
     pub async fn serve(self, fail_over: FailOver) -> SocketAddr {
-        let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
-        let addr = listener.local_addr().unwrap();
+        let listener = tokio::net::TcpListener::bind("127.0.0.1:0")
+            .await
+            .expect("the set-up of the test works");
+        let addr = listener.local_addr().expect("the set-up of the test works");
         let promote = post(move |Json(body): Json<Value>| {
-            let led = fail_over(body["id"].as_str().unwrap());
+            let led = fail_over(body["id"].as_str().expect("the set-up of the test works"));
             async move { if led { StatusCode::OK } else { StatusCode::CONFLICT } }
         });
         let app = Router::new()
@@ -55,7 +57,7 @@
 
     /// Writes a row as the operator or a member does.
     pub fn put(&self, table: &str, key: &str, value: &Value) {
-        let mut rows = self.rows.lock().unwrap();
+        let mut rows = self.rows.lock().expect("nobody panicked");
         rows.version += 1;
         let version = rows.version;
         let text = STANDARD.encode(value.to_string());
@@ -64,18 +66,23 @@
 
     /// Number of rows of a table whose keys begin so.
     pub fn count(&self, table: &str, prefix: &str) -> usize {
-        let rows = self.rows.lock().unwrap();
+        let rows = self.rows.lock().expect("nobody panicked");
         let found = rows.of(table, None);
-        found.iter().filter(|row| row["key"].as_str().unwrap().starts_with(prefix)).count()
+        found
+            .iter()
+            .filter(|row| {
+                row["key"].as_str().expect("the set-up of the test works").starts_with(prefix)
+            })
+            .count()
     }
 
     /// Whether every call is answered with 503 from now on.
     pub fn set_down(&self, down: bool) {
-        *self.down.lock().unwrap() = down;
+        *self.down.lock().expect("nobody panicked") = down;
     }
 
     fn is_down(&self) -> bool {
-        *self.down.lock().unwrap()
+        *self.down.lock().expect("nobody panicked")
     }
 }
 
@@ -103,29 +110,29 @@
 
 async fn rows_get(
     State(store): State<Store>,
-    Query(query): Query<HashMap<String, String>>,
+    Query(query): Query<BTreeMap<String, String>>,
 ) -> Answer {
     if store.is_down() {
         return refuse(StatusCode::SERVICE_UNAVAILABLE);
     }
-    let rows = store.rows.lock().unwrap();
+    let rows = store.rows.lock().expect("nobody panicked");
     let found = rows.of(&query["table"], None);
     Ok(Json(json!({"rows": found, "more_pages": false, "ver": rows.version, "now_ms": 0})))
 }
 
 async fn rows_feed(
     State(store): State<Store>,
-    Query(query): Query<HashMap<String, String>>,
+    Query(query): Query<BTreeMap<String, String>>,
 ) -> Answer {
-    let after: u64 = query["after"].parse().unwrap();
-    let wait: u64 = query["wait_ms"].parse().unwrap();
+    let after: u64 = query["after"].parse().expect("the set-up of the test works");
+    let wait: u64 = query["wait_ms"].parse().expect("the set-up of the test works");
     let mut waited = Duration::ZERO;
     loop {
         if store.is_down() {
             return refuse(StatusCode::SERVICE_UNAVAILABLE);
         }
         {
-            let rows = store.rows.lock().unwrap();
+            let rows = store.rows.lock().expect("nobody panicked");
             let found = rows.of(&query["table"], Some(after));
             if !found.is_empty() || waited >= Duration::from_millis(wait) {
                 return Ok(Json(json!({"rows": found, "ver": rows.version, "now_ms": 0})));
@@ -140,24 +147,27 @@
     if store.is_down() {
         return refuse(StatusCode::SERVICE_UNAVAILABLE);
     }
-    let mut rows = store.rows.lock().unwrap();
+    let mut rows = store.rows.lock().expect("nobody panicked");
     let place = |entry: &Value| {
-        let text = |name: &str| entry[name].as_str().unwrap().to_owned();
+        let text =
+            |name: &str| entry[name].as_str().expect("the set-up of the test works").to_owned();
         (text("table"), text("key"))
     };
-    for entry in body["expect"].as_array().unwrap() {
+    for entry in body["expect"].as_array().expect("the set-up of the test works") {
         let found = rows.rows.get(&place(entry)).filter(|(value, _)| value.is_some());
-        if found.map_or(0, |(_, version)| *version) != entry["ver"].as_u64().unwrap() {
+        if found.map_or(0, |(_, version)| *version)
+            != entry["ver"].as_u64().expect("the set-up of the test works")
+        {
             return refuse(StatusCode::PRECONDITION_FAILED);
         }
     }
     rows.version += 1;
     let version = rows.version;
-    for entry in body["set_keys"].as_array().unwrap() {
-        let value = entry["value"].as_str().unwrap().to_owned();
+    for entry in body["set_keys"].as_array().expect("the set-up of the test works") {
+        let value = entry["value"].as_str().expect("the set-up of the test works").to_owned();
         rows.rows.insert(place(entry), (Some(value), version));
     }
-    for entry in body["delete_keys"].as_array().unwrap() {
+    for entry in body["delete_keys"].as_array().expect("the set-up of the test works") {
         rows.rows.insert(place(entry), (None, version));
     }
     Ok(Json(json!({"ver": version, "now_ms": 0})))
--- a/crates/entry/tests/support/world.rs
+++ b/crates/entry/tests/support/world.rs
@@ -32,7 +32,7 @@
             .worker_threads(2)
             .enable_all()
             .build()
-            .unwrap();
+            .expect("the set-up of the test works");
         let store = Store::default();
         let group = Arc::new(Mutex::new(Group {
             members: ["m1", "m2", "m3"]
@@ -44,13 +44,13 @@
         let members = Arc::new(Mutex::new(BTreeMap::new()));
         let (led, present) = (Arc::clone(&group), Arc::clone(&members));
         let fail_over = Arc::new(move |id: &str| {
-            let runs = present.lock().unwrap().contains_key(id);
-            let mut group = led.lock().unwrap();
+            let runs = present.lock().expect("nobody panicked").contains_key(id);
+            let mut group = led.lock().expect("nobody panicked");
             if runs && group.primary != id {
                 group.primary = id.to_owned();
                 group.term += 1;
                 let term = group.term;
-                group.members.get_mut(id).unwrap().term = term;
+                group.members.get_mut(id).expect("the set-up of the test works").term = term;
             }
             runs
         });
@@ -62,7 +62,7 @@
                 "version": "v1", "capacity": 3, "state": "ready", "warmup_left_ms": 0,
                 "db_role": role, "sequence": 1, "born": 1});
             store.put("servers", id, &entry);
-            members.lock().unwrap().insert(id.to_owned(), member);
+            members.lock().expect("nobody panicked").insert(id.to_owned(), member);
         }
         let mut world = World { _runtime: runtime, store, platform, members, group, version: 0 };
         world.configure(&["orders", "lookups"]);
@@ -87,19 +87,19 @@
 
     /// Ends a member; its connections close.
     pub fn crash(&self, id: &str) {
-        if let Some(member) = self.members.lock().unwrap().remove(id) {
+        if let Some(member) = self.members.lock().expect("nobody panicked").remove(id) {
             member.crash();
         }
     }
 
     /// The member that leads.
     pub fn primary(&self) -> String {
-        self.group.lock().unwrap().primary.clone()
+        self.group.lock().expect("nobody panicked").primary.clone()
     }
 
     /// An item as the primary holds it.
     pub fn item(&self, item: &str) -> Option<String> {
-        let group = self.group.lock().unwrap();
+        let group = self.group.lock().expect("nobody panicked");
         group.members[&group.primary].items.get(item).cloned()
     }
 }
