A prepared name that members lack is answered BUSY or ABORTED; a wait for a condition

Cause: the last try's code went to the caller as it was, so NOSTMT for a name that the caller had prepared. The new test a_name_that_members_lack_again_and_again_is_answered_busy failed before (the answer began with NOSTMT) and passes now. In an open transaction the same word now ends the transaction with ABORTED (by reading; no test reaches it, since the stand-in loses only names outside of transactions). The test of two daemons without the store slept 1 s and 3 s; it now waits until both say, by a new gauge of the metrics, that each other's answers suffice, and writes for the time of two grants. Run three times: passed.

--- a/crates/entry/src/control/http.rs
+++ b/crates/entry/src/control/http.rs
@@ -2,7 +2,7 @@
 
 use axum::{Router, http::StatusCode, routing::get};
 
-use crate::shared::Shared;
+use crate::{clock, shared::Shared};
 
 /// Port of the metrics, as `deploy/system.toml` names it.
 const METRICS_PORT: u16 = 9_464;
@@ -18,7 +18,7 @@
     let ready = move || async move {
         if shared.is_ready() { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE }
     };
-    let metrics = move || async move { for_metrics.metrics() };
+    let metrics = move || async move { for_metrics.metrics(clock::now()) };
     listen(addr, Router::new().route("/readyz", get(ready))).await?;
     let metrics = Router::new().route("/metrics", get(metrics));
     if let Err(error) = listen(SocketAddr::new(addr.ip(), METRICS_PORT), metrics).await {
--- a/crates/entry/src/control/task/standing.rs
+++ b/crates/entry/src/control/task/standing.rs
@@ -8,6 +8,7 @@
 
 use super::{ASK_STORE_EVERY, Control};
 use crate::{
+    clock,
     control::{
         event::Event,
         ledger::{Ledger, TABLE},
@@ -121,6 +122,7 @@
     pub(super) fn refresh_grant(&self) {
         let until = if self.carries { self.grants.until() } else { Time::default() };
         self.shared.set_grant_until(until);
+        self.shared.set_peers_suffice(self.grants.peers_suffice(clock::now(), Span::ZERO));
     }
 
     pub(super) fn refresh_ready(&mut self, now: Time) {
--- a/crates/entry/src/data/serve.rs
+++ b/crates/entry/src/data/serve.rs
@@ -35,6 +35,9 @@
 const LATE_FOR_GRANT: &str =
     "the answer came when the primary was replaced or this daemon's grant had lapsed";
 
+/// Why a transaction ends whose member lacks a name that the caller has prepared.
+const NAME_LOST: &str = "the member lacks a prepared name";
+
 /// Why a statement for the primary is refused at once; other daemons may know better.
 const NO_GRANT: &str = "this daemon cannot tell at present who is primary";
 
@@ -125,8 +128,7 @@
             }
             let in_time = clock::now() < turn.deadline;
             if !in_time || tries >= MAX_TRIES || !self.may_retry(code) {
-                let code = if code == Code::Misrouted { Code::Busy } else { code };
-                return self.fail(turn.id, code, reason).await;
+                return self.fail(turn.id, for_caller(code), reason).await;
             }
             self.cx.shared.count(Counter::Retried);
             if code != Code::Lagging {
@@ -462,6 +464,11 @@
                 return self.fail(turn.id, Code::Aborted, &error.to_string()).await;
             }
         };
+        if let Err((Code::NoStatement, _)) = &answer.result {
+            roll_back(lease);
+            self.tx = Transaction::Failed;
+            return self.fail(turn.id, Code::Aborted, NAME_LOST).await;
+        }
         let wrote = wrote || turn.verb == Verb::Store;
         match answer.state {
             State::Transaction => self.tx = Transaction::Open { lease, read_only, wrote },
@@ -548,6 +555,15 @@
     }
 }
 
+/// The word that a caller gets for a statement that members declined. Where a statement
+/// was sent, and which names members lack, is this daemon's matter, not the caller's.
+fn for_caller(code: Code) -> Code {
+    match code {
+        Code::Misrouted | Code::NoStatement => Code::Busy,
+        code => code,
+    }
+}
+
 /// Reads an answer to its end that nobody waits for any more, so that the member's
 /// work is not cut off and the connection can be used again.
 fn drain(lease: Lease) {
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -15,6 +15,7 @@
     grant_until: AtomicU64,
     ready: AtomicBool,
     passive: AtomicBool,
+    peers_suffice: AtomicBool,
     counters: [AtomicU64; Counter::COUNT],
     latency: Mutex<Histogram<u64>>,
 }
@@ -59,6 +60,7 @@
             grant_until: AtomicU64::new(0),
             ready: AtomicBool::new(false),
             passive: AtomicBool::new(false),
+            peers_suffice: AtomicBool::new(false),
             counters: Default::default(),
             latency: Mutex::new(latency.expect("two significant digits are allowed")),
         }
@@ -92,6 +94,11 @@
         self.passive.store(passive, Ordering::Relaxed);
     }
 
+    /// Notes whether the other daemons' answers alone let primaries be used.
+    pub(crate) fn set_peers_suffice(&self, suffice: bool) {
+        self.peers_suffice.store(suffice, Ordering::Relaxed);
+    }
+
     pub(crate) fn count(&self, counter: Counter) {
         self.counters[counter as usize].fetch_add(1, Ordering::Relaxed);
     }
@@ -102,9 +109,14 @@
         histogram.saturating_record(latency.as_micros());
     }
 
-    /// Counters and quantiles as text, one `NAME VALUE` a line.
-    pub(crate) fn metrics(&self) -> String {
+    /// Counters, quantiles and the state of the grant at `now` as text, one
+    /// `NAME VALUE` a line.
+    pub(crate) fn metrics(&self, now: Time) -> String {
         let mut text = String::new();
+        let grant_left = self.grant_until().since(now).as_millis();
+        text.push_str(&format!("corianderwharf_grant_left_ms {grant_left}\n"));
+        let suffice = u8::from(self.peers_suffice.load(Ordering::Relaxed));
+        text.push_str(&format!("corianderwharf_grant_without_store {suffice}\n"));
         for (counter, name) in Counter::ALL {
             let value = self.counters[counter as usize].load(Ordering::Relaxed);
             text.push_str(&format!("corianderwharf_{name}_total {value}\n"));
--- a/crates/entry/tests/platform.rs
+++ b/crates/entry/tests/platform.rs
@@ -13,6 +13,8 @@
 const CHANGE_LIMIT: Duration = Duration::from_secs(6);
 /// How long a configuration may take to be in force.
 const CONFIG_LIMIT: Duration = Duration::from_secs(3);
+/// Twice as long as an answer of the store lets a primary be used.
+const TWO_GRANTS: Duration = Duration::from_secs(3);
 const PAUSE: Duration = Duration::from_millis(20);
 
 fn eventually(limit: Duration, what: &str, mut holds: impl FnMut() -> bool) {
@@ -69,6 +71,21 @@
     assert!(one.query("NONSENSE").result.unwrap_err().starts_with("MALFORMED"));
 }
 
+/// The caller has prepared the name, so only the members lack it: nothing ran, and the
+/// caller may come back.
+#[test]
+fn a_name_that_members_lack_again_and_again_is_answered_busy() {
+    let world = World::new();
+    let daemon = Daemon::start("d1", "127.0.1.8", 0.25, world.platform);
+    daemon.wait_ready();
+    wait_for_writes(&daemon);
+    let mut session = client(&daemon, "orders");
+    assert!(session.query("PREPARE s1 STORE forgotten").result.is_ok());
+    let refusal = session.query("EXECUTE s1 lot-1 oak").result.unwrap_err();
+    assert!(refusal.starts_with("BUSY"), "{refusal}");
+    assert_eq!(world.item("lot-1"), None);
+}
+
 #[test]
 fn a_crashed_primary_is_replaced_and_no_write_is_lost() {
     let world = World::new();
@@ -145,12 +162,15 @@
     eventually(Duration::from_secs(3), "two carriers", || {
         world.store.count("corianderwharf", "carrier/") == 2
     });
-    // Until each has had an answer of the other.
-    thread::sleep(Duration::from_secs(1));
+    eventually(Duration::from_secs(3), "answers of each other", || {
+        one.is_granted_without_store() && two.is_granted_without_store()
+    });
     world.store.set_down(true);
-    thread::sleep(Duration::from_secs(3));
     let (mut here, mut there) = (client(&one, "orders"), client(&two, "orders"));
-    for number in 0..50 {
+    let end = Instant::now() + TWO_GRANTS;
+    let mut number = 0;
+    while Instant::now() < end {
+        number += 1;
         assert!(here.query(&format!("STORE lot {number}")).result.is_ok());
         assert_eq!(there.query("FETCH lot").rows, [number.to_string()]);
     }
--- a/crates/entry/tests/support/daemon.rs
+++ b/crates/entry/tests/support/daemon.rs
@@ -11,6 +11,7 @@
 /// How long a daemon may take until the platform may send callers.
 const READY_LIMIT: Duration = Duration::from_secs(20);
 const READY_TICK: Duration = Duration::from_millis(20);
+const METRICS_PORT: u16 = 9_464;
 
 /// The real program as a process of its own.
 pub struct Daemon {
@@ -55,12 +56,14 @@
 
     /// What the daemon tells the platform's ready probe.
     pub fn is_ready(&self) -> bool {
-        let Ok(mut stream) = TcpStream::connect(self.readiness) else { return false };
-        let req = "GET /readyz HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n";
-        let mut answer = String::new();
-        let sent = stream.write_all(req.as_bytes());
-        sent.and_then(|()| stream.read_to_string(&mut answer)).is_ok()
-            && answer.starts_with("HTTP/1.1 200")
+        get(self.readiness, "/readyz").is_some_and(|answer| answer.starts_with("HTTP/1.1 200"))
+    }
+
+    /// Whether the other daemons' answers alone let it use primaries.
+    pub fn is_granted_without_store(&self) -> bool {
+        let metrics = SocketAddr::new(self.callers.ip(), METRICS_PORT);
+        get(metrics, "/metrics")
+            .is_some_and(|answer| answer.contains("corianderwharf_grant_without_store 1\n"))
     }
 
     /// Sends SIGTERM to the process.
@@ -90,6 +93,16 @@
     }
 }
 
+/// The whole answer to an HTTP request, if there is one.
+fn get(addr: SocketAddr, path: &str) -> Option<String> {
+    let mut stream = TcpStream::connect(addr).ok()?;
+    let req = format!("GET {path} HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n");
+    stream.write_all(req.as_bytes()).ok()?;
+    let mut answer = String::new();
+    stream.read_to_string(&mut answer).ok()?;
+    Some(answer)
+}
+
 fn free(ip: IpAddr) -> SocketAddr {
     TcpListener::bind((ip, 0))
         .expect("the set-up of the test works")
--- a/crates/entry/tests/support/member.rs
+++ b/crates/entry/tests/support/member.rs
@@ -164,7 +164,10 @@
             "COMPLETE -\r\n".to_owned()
         }
         "PREPARE" => {
-            session.names.insert(words[1].to_owned(), words[2].to_owned());
+            // A statement of the shape `forgotten` is lost as soon as it is prepared.
+            if words[3..] != ["forgotten"] {
+                session.names.insert(words[1].to_owned(), words[2].to_owned());
+            }
             "COMPLETE -\r\n".to_owned()
         }
         "EXECUTE" => match session.names.get(words[1]) {
