A change of primary counts a majority of every list of carriers still gone by

Cause: the driver counted a majority of the newest list. A carrier that lost its place while the store still answered it was not counted at all. Rows of carriers tell since when, by the store's clock, so that a driver that has just started knows too. Ruled out: letting carriers join one at a time after a majority has the last one in force, which would hang after the loss of most of them.

--- a/crates/entry/src/control/ledger.rs
+++ b/crates/entry/src/control/ledger.rs
@@ -19,6 +19,8 @@
     pub(crate) leads: FastMap<String, (LeadRecord, u64)>,
     /// Carriers by their place.
     pub(crate) carriers: FastMap<String, (CarrierRecord, u64)>,
+    /// Places of carriers that have lost them.
+    pub(crate) gone: FastMap<String, (CarrierRecord, u64)>,
 }
 
 /// What a row is about.
@@ -57,6 +59,17 @@
         Some((place, record, *version))
     }
 
+    /// Version that the row of a place must have for `vm` to take it; `None` if it is not
+    /// free yet. `store_ms` is the store's clock.
+    pub(crate) fn free_place(&self, place: &str, vm: &str, store_ms: u64) -> Option<u64> {
+        match self.gone.get(place) {
+            // Its last holder is counted all the same when it takes the place again.
+            Some((record, version)) if record.vm == vm => Some(*version),
+            Some((record, version)) => record.is_settled(store_ms).then_some(*version),
+            None => (!self.carriers.contains_key(place)).then_some(0),
+        }
+    }
+
     /// Number of daemons that are carriers.
     pub(crate) fn carrier_count(&self) -> u32 {
         let mut vms: Vec<_> = self.carriers.values().map(|(record, _)| &record.vm).collect();
@@ -84,7 +97,13 @@
             put(&mut self.leads, group, decode(&row.key, value), version);
             changed.push(Changed::Lead(group.to_owned()));
         } else if let Some(place) = row.key.strip_prefix(CARRIER) {
-            put(&mut self.carriers, place, decode(&row.key, value), version);
+            let record: Option<CarrierRecord> = decode(&row.key, value);
+            let (gone, present) = match record {
+                Some(record) if record.gone => (Some(record), None),
+                record => (None, record),
+            };
+            put(&mut self.carriers, place, present, version);
+            put(&mut self.gone, place, gone, version);
             changed.push(Changed::Carriers);
         }
     }
--- a/crates/entry/src/control/mod.rs
+++ b/crates/entry/src/control/mod.rs
@@ -8,6 +8,7 @@
 mod member_calls;
 mod peers;
 mod pending;
+mod roll;
 mod stewardship;
 mod tables;
 mod task;
--- a/crates/entry/src/control/stewardship.rs
+++ b/crates/entry/src/control/stewardship.rs
@@ -15,6 +15,7 @@
         ledger::{Ledger, TABLE},
         member_calls,
         peers::Peers,
+        roll::{Carrier, Roll},
     },
 };
 
@@ -140,14 +141,23 @@
 
     /// Takes the duty if nobody has it, and drives the changes under way if it is
     /// this daemon's.
-    pub(crate) fn tick(&mut self, ledger: &Ledger, peers: &Peers, groups: &[GroupView<'_>]) {
+    ///
+    /// `store_ms` is the store's clock in its latest answer.
+    pub(crate) fn tick(
+        &mut self,
+        ledger: &Ledger,
+        peers: &Peers,
+        store_ms: u64,
+        groups: &[GroupView<'_>],
+    ) {
         let now = clock::now();
         if self.held_since.is_none() {
             self.consider_taking(now, ledger, peers);
             return;
         }
+        let carriers = Roll { vm: &self.vm, ledger, peers, store_ms }.standings();
         for group in groups {
-            self.drive(now, ledger, peers, group);
+            self.drive(now, ledger, peers, &carriers, group);
         }
     }
 
@@ -191,10 +201,17 @@
         self.write_until.is_some_and(|until| now < until)
     }
 
-    fn drive(&mut self, now: Time, ledger: &Ledger, peers: &Peers, group: &GroupView<'_>) {
+    fn drive(
+        &mut self,
+        now: Time,
+        ledger: &Ledger,
+        peers: &Peers,
+        carriers: &[Carrier],
+        group: &GroupView<'_>,
+    ) {
         let record = ledger.leads.get(group.name);
         let stopped = record.is_some_and(|(record, version)| {
-            record.changing && self.all_stopped(now, *version, group.name, ledger, peers)
+            record.changing && self.all_stopped(now, *version, group.name, carriers)
         });
         let verdict = match record {
             Some((record, _)) => {
@@ -244,32 +261,17 @@
 
     /// Whether no carrier uses the primary any more that version `version` of the
     /// group's record ended.
-    fn all_stopped(
-        &mut self,
-        now: Time,
-        version: u64,
-        group: &str,
-        ledger: &Ledger,
-        peers: &Peers,
-    ) -> bool {
+    fn all_stopped(&mut self, now: Time, version: u64, group: &str, carriers: &[Carrier]) -> bool {
         let learnt = self.learnt.get(group).copied().unwrap_or(now);
-        let mut vms: Vec<_> = ledger.carriers.values().map(|(record, _)| &record.vm).collect();
-        vms.sort_unstable();
-        vms.dedup();
-        let stopped = vms.iter().filter(|vm| {
-            let peer = peers.peers.get(**vm);
-            **vm == &self.vm || peer.is_some_and(|peer| peer.version >= version)
-        });
-        let stopped = stopped.count();
-        let majority = is_majority(vms.len(), stopped);
-        let since = majority.then(|| {
+        let carriers: Vec<_> = carriers.iter().map(|carrier| carrier.standing(version)).collect();
+        let since = is_majority(&carriers).then(|| {
             let (of, since) = self.majorities.entry(group.to_owned()).or_insert((version, now));
             if *of != version {
                 (*of, *since) = (version, now);
             }
             *since
         });
-        have_stopped(now, vms.len(), stopped, since, learnt)
+        have_stopped(now, &carriers, since, learnt)
     }
 
     fn write_lead(
--- a/crates/entry/src/control/tables.rs
+++ b/crates/entry/src/control/tables.rs
@@ -79,6 +79,7 @@
     fn from(copy: TableCopy) -> Rows {
         let rows = copy.rows.into_iter();
         let rows = rows.map(|(key, value, version)| Row { key, value: Some(value), version });
-        Rows { rows: rows.collect(), version: copy.as_of }
+        // Only the store tells its clock.
+        Rows { rows: rows.collect(), version: copy.as_of, clock_ms: 0 }
     }
 }
--- a/crates/entry/src/control/task.rs
+++ b/crates/entry/src/control/task.rs
@@ -82,6 +82,8 @@
     store_lost: bool,
     /// When the store last answered.
     store_at: Option<Time>,
+    /// The store's clock in its latest answer.
+    store_ms: u64,
     stopping: bool,
     /// When the grant was last good.
     granted_at: Option<Time>,
@@ -199,6 +201,7 @@
             config_current: true,
             store_lost: false,
             store_at: None,
+            store_ms: 0,
             stopping: false,
             granted_at: None,
             evacuates: false,
@@ -209,6 +212,7 @@
         match event {
             Event::Rows { table, rows, whole, asked_at } => {
                 self.store_at = Some(clock::now());
+                self.store_ms = self.store_ms.max(rows.clock_ms);
                 if self.store_lost {
                     self.store_lost = false;
                     logs::event("dependency regained", &serde_json::json!({"store": table}));
@@ -280,7 +284,7 @@
         }
         let Some(config) = self.config.clone() else { return };
         let views: Vec<_> = config.groups.iter().map(|group| self.view(now, group)).collect();
-        self.steward.tick(&self.ledger, &self.peers, &views);
+        self.steward.tick(&self.ledger, &self.peers, self.store_ms, &views);
     }
 
     fn view<'a>(&self, now: Time, group: &'a Group) -> GroupView<'a> {
--- a/crates/entry/src/control/task/standing.rs
+++ b/crates/entry/src/control/task/standing.rs
@@ -37,7 +37,7 @@
     pub(super) fn register(&mut self, now: Time) {
         let Some(config) = &self.config else { return };
         let lately = self.registering.is_some_and(|at| now.since(at) < ASK_STORE_EVERY);
-        if !self.ledger.known || lately || self.stopping {
+        if !self.ledger.known || self.store_ms == 0 || lately || self.stopping {
             return;
         }
         let addr = SocketAddr::new(self.settings.callers.ip(), self.settings.ports.0);
@@ -46,9 +46,11 @@
             addr,
             sessions: self.settings.callers,
             zone: self.settings.zone.clone(),
+            since_ms: self.store_ms,
+            gone: false,
         };
         let (place, version) = match self.ledger.carrier(&self.settings.vm) {
-            Some((_, known, _)) if *known == record => return,
+            Some((_, known, _)) if known.is_same(&record) => return,
             Some((place, _, version)) => (place.to_owned(), version),
             None => {
                 let connections = config.groups.iter().map(|group| group.connections).min();
@@ -56,8 +58,12 @@
                 let places = places
                     .numbers()
                     .map(|number| Ledger::carrier_place(&self.settings.zone, number));
-                let mut free = places.filter(|place| !self.ledger.carriers.contains_key(place));
-                let Some(place) = free.next() else {
+                let mut free = places.filter_map(|place| {
+                    let version =
+                        self.ledger.free_place(&place, &self.settings.vm, self.store_ms)?;
+                    Some((place, version))
+                });
+                let Some((place, version)) = free.next() else {
                     self.vacant_since = None;
                     return;
                 };
@@ -66,7 +72,7 @@
                 if small && now.since(since) < SMALL_WAIT {
                     return;
                 }
-                (place, 0)
+                (place, version)
             }
         };
         self.registering = Some(now);
@@ -109,10 +115,11 @@
             peer.heard.is_some_and(|heard| now.since(heard) >= FORGET_CARRIER_AFTER)
         });
         let Some((vm, _)) = gone else { return };
-        let Some((place, _, version)) = self.ledger.carrier(vm) else { return };
+        let Some((place, record, version)) = self.ledger.carrier(vm) else { return };
+        let record = CarrierRecord { since_ms: self.store_ms, gone: true, ..record.clone() };
         let key = Ledger::carrier_key(place);
         let row = Key { table: TABLE, key: &key };
-        let change = Change::default().with_expected(row, version).without_row(row);
+        let change = Change::default().with_expected(row, version).with_row(row, &encode(&record));
         logs::event("carrier forgotten", &serde_json::json!({"vm": vm}));
         let vm = vm.clone();
         self.peers.peers.remove(&vm);
--- a/crates/entry/tests/support/store.rs
+++ b/crates/entry/tests/support/store.rs
@@ -1,8 +1,8 @@
 use std::{
     collections::BTreeMap,
     net::SocketAddr,
-    sync::{Arc, Mutex},
-    time::Duration,
+    sync::{Arc, Mutex, OnceLock},
+    time::{Duration, Instant},
 };
 
 use axum::{
@@ -102,6 +102,12 @@
     }
 }
 
+/// The store's steady clock.
+fn clock_ms() -> u64 {
+    static START: OnceLock<Instant> = OnceLock::new();
+    START.get_or_init(Instant::now).elapsed().as_millis() as u64 + 1
+}
+
 type Answer = Result<Json<Value>, (StatusCode, Json<Value>)>;
 
 fn refuse(status: StatusCode) -> Answer {
@@ -117,7 +123,7 @@
     }
     let rows = store.rows.lock().expect("nobody panicked");
     let found = rows.of(&query["table"], None);
-    Ok(Json(json!({"rows": found, "more_pages": false, "ver": rows.version, "now_ms": 0})))
+    Ok(Json(json!({"rows": found, "more_pages": false, "ver": rows.version, "now_ms": clock_ms()})))
 }
 
 async fn rows_feed(
@@ -135,7 +141,7 @@
             let rows = store.rows.lock().expect("nobody panicked");
             let found = rows.of(&query["table"], Some(after));
             if !found.is_empty() || waited >= Duration::from_millis(wait) {
-                return Ok(Json(json!({"rows": found, "ver": rows.version, "now_ms": 0})));
+                return Ok(Json(json!({"rows": found, "ver": rows.version, "now_ms": clock_ms()})));
             }
         }
         tokio::time::sleep(LOOK_EVERY).await;
@@ -170,5 +176,5 @@
     for entry in body["delete_keys"].as_array().expect("the set-up of the test works") {
         rows.rows.insert(place(entry), (None, version));
     }
-    Ok(Json(json!({"ver": version, "now_ms": 0})))
+    Ok(Json(json!({"ver": version, "now_ms": clock_ms()})))
 }
--- a/crates/succession/src/grants.rs
+++ b/crates/succession/src/grants.rs
@@ -10,6 +10,14 @@
 /// slightly different speeds, and timers fire late.
 const MARGIN: Span = Span::from_millis(150);
 
+/// How late the store may apply a write after its caller gave up on it.
+const LATE_WRITE: Span = Span::from_millis(8_000);
+/// Age of a carrier's row from which every list that is still gone by shows it, or, if it
+/// says that the carrier lost its place, does not.
+pub const SETTLED_AFTER: Span = Span::from_millis(
+    WITHOUT_STORE.as_millis() + GRANT.as_millis() + MARGIN.as_millis() + LATE_WRITE.as_millis(),
+);
+
 /// Until when this carrier may use primaries.
 ///
 /// Evidence is either an answer of the store, or answers of enough other carriers that
@@ -84,26 +92,50 @@
     count / 2 + 1
 }
 
+/// A carrier as the driver of a change knows it: one on the newest list, or one that
+/// lost its place so lately that it may not know.
+#[derive(Clone, Copy, Debug)]
+pub struct Standing {
+    /// Whether it has the change in force.
+    pub stopped: bool,
+    /// Version of the row that lists it.
+    pub listed: u64,
+    /// Whether it was listed before any grant began that may still be prolonged without
+    /// the store ([`SETTLED_AFTER`]).
+    pub settled: bool,
+    /// Version of the rows that it last showed to have in force, 0 if it showed none.
+    pub shown: u64,
+}
+
 /// Whether no carrier uses the old primary any more: all have the change in force, or a
 /// majority has and the others' grants have lapsed, or even those that the others'
 /// answers could have prolonged have lapsed.
 ///
-/// `stopped` of `carriers` have it in force, a majority since `majority_since`; the
-/// change was learnt from the store at `learnt`.
+/// A majority has had it in force since `majority_since`; the change was learnt from the
+/// store at `learnt`.
 pub fn have_stopped(
     now: Time,
-    carriers: usize,
-    stopped: usize,
+    carriers: &[Standing],
     majority_since: Option<Time>,
     learnt: Time,
 ) -> bool {
     let lapsed = |since: Time| now.since(since) >= GRANT + MARGIN;
-    stopped >= carriers
-        || (is_majority(carriers, stopped) && majority_since.is_some_and(lapsed))
+    carriers.iter().all(|carrier| carrier.stopped)
+        || (is_majority(carriers) && majority_since.is_some_and(lapsed))
         || now.since(learnt) >= WITHOUT_STORE + GRANT + MARGIN
 }
 
-/// Whether `stopped` of `carriers` are a majority.
-pub fn is_majority(carriers: usize, stopped: usize) -> bool {
-    stopped >= majority(carriers)
+/// Whether those that have stopped are a majority of every list of carriers that one of
+/// the others may still go by.
+///
+/// Those on all such lists are the settled ones and those whose rows the others have
+/// shown to know. If they outnumber everyone who has not stopped, no list without the
+/// others' knowledge of the change has a majority left.
+pub fn is_majority(carriers: &[Standing]) -> bool {
+    let others = carriers.iter().filter(|carrier| !carrier.stopped);
+    let known_to_all = others.clone().map(|carrier| carrier.shown).min().unwrap_or(u64::MAX);
+    let on_all_lists = carriers
+        .iter()
+        .filter(|carrier| carrier.stopped && (carrier.settled || carrier.listed <= known_to_all));
+    on_all_lists.count() > others.count()
 }
--- a/crates/succession/src/lib.rs
+++ b/crates/succession/src/lib.rs
@@ -13,7 +13,7 @@
 
 pub use crate::{
     carriers::{CarrierPlaces, Carriers},
-    grants::{GRANT, Grants, WITHOUT_STORE, have_stopped, is_majority},
+    grants::{GRANT, Grants, SETTLED_AFTER, Standing, WITHOUT_STORE, have_stopped, is_majority},
     judge::{Opinion, Verdict, judge},
     records::{CarrierRecord, DutyRecord, LeadRecord},
     succession::{Action, Candidate, Outcome, Status, Succession, View},
--- a/crates/succession/src/records.rs
+++ b/crates/succession/src/records.rs
@@ -1,5 +1,7 @@
 use std::net::SocketAddr;
 
+use crate::grants::SETTLED_AFTER;
+
 /// Who makes the calls that one daemon at a time may make.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 #[derive(serde::Deserialize, serde::Serialize)]
@@ -38,4 +40,25 @@
     pub sessions: SocketAddr,
     /// Availability zone.
     pub zone: String,
+    /// The store's clock in ms when the record was written, as last read by its writer.
+    #[serde(default)]
+    pub since_ms: u64,
+    /// Whether the carrier has lost its place. The record stays until no list that is
+    /// still gone by can show the carrier.
+    #[serde(default)]
+    pub gone: bool,
+}
+
+impl CarrierRecord {
+    /// Whether both speak of the same daemon at the same addresses.
+    pub fn is_same(&self, other: &CarrierRecord) -> bool {
+        let of = |record: &CarrierRecord| (record.addr, record.sessions);
+        self.vm == other.vm && self.zone == other.zone && of(self) == of(other)
+    }
+
+    /// Whether it is old enough, by the store's clock, that every list still gone by
+    /// reflects it.
+    pub fn is_settled(&self, store_ms: u64) -> bool {
+        store_ms.saturating_sub(self.since_ms) >= SETTLED_AFTER.as_millis()
+    }
 }
--- a/crates/succession/tests/carriers.rs
+++ b/crates/succession/tests/carriers.rs
@@ -12,6 +12,8 @@
         addr: addr(port),
         sessions: addr(port + 1),
         zone: zone.to_owned(),
+        since_ms: 0,
+        gone: false,
     }
 }
 
