A request that is asked again keeps its age in the queue

Test a_request_that_is_asked_again_keeps_its_age; it could not be written before, as tickets had no age of their own.

--- a/crates/admission/src/class.rs
+++ b/crates/admission/src/class.rs
@@ -52,7 +52,9 @@
     }
 
     pub(crate) fn push(&mut self, lane: Lane, waiting: Waiting<T>) {
-        self.lanes[lane.index()].push_back(waiting);
+        let lane = &mut self.lanes[lane.index()];
+        let place = lane.partition_point(|other| other.since <= waiting.since);
+        lane.insert(place, waiting);
     }
 
     pub(crate) fn push_front(&mut self, lane: Lane, waiting: Waiting<T>) {
--- a/crates/admission/src/scheduler.rs
+++ b/crates/admission/src/scheduler.rs
@@ -58,7 +58,7 @@
         self.classes[class].last_offer = Some(now);
         self.check(now, class, &ticket)?;
         self.catch_up_virtual_time(class);
-        let waiting = Waiting { item: ticket.item, since: now, deadline: ticket.deadline };
+        let waiting = Waiting { item: ticket.item, since: ticket.since, deadline: ticket.deadline };
         self.classes[class].push(ticket.lane, waiting);
         Ok(())
     }
--- a/crates/admission/src/tests.rs
+++ b/crates/admission/src/tests.rs
@@ -16,7 +16,8 @@
 }
 
 fn ticket(item: u32, rank: Rank, policy: Policy) -> Ticket<u32> {
-    Ticket { item, key: key("db", rank), policy, lane: Lane::Replica, deadline: at(60_000) }
+    let (key, since) = (key("db", rank), Time::default());
+    Ticket { item, key, policy, lane: Lane::Replica, since, deadline: at(60_000) }
 }
 
 fn flood(scheduler: &mut Scheduler<u32>, rank: Rank, policy: Policy, count: u32) {
@@ -159,6 +160,24 @@
     assert_eq!(order, vec![0, 2]);
 }
 
+/// Load pattern: replicas are behind, so that reads come back to the queue after a
+/// replica has declined them.
+#[test]
+fn a_request_that_is_asked_again_keeps_its_age() {
+    let policy = Policy { target: Some(Span::from_millis(400)), ..Policy::default() };
+    let order_at = |now: u64| {
+        let mut scheduler = Scheduler::new(Policing::LateLast);
+        for (item, since) in [(1, 200), (2, 100), (3, 0)] {
+            let again = Ticket { since: at(since), ..ticket(item, Rank::Lookup, policy) };
+            scheduler.offer(at(200), again).expect("no limit");
+        }
+        let picked = std::iter::from_fn(|| scheduler.pick(at(now), Lane::Replica, 4));
+        picked.map(|it| it.item).collect::<Vec<_>>()
+    };
+    assert_eq!(order_at(201), [3, 2, 1], "the one that came first goes first");
+    assert_eq!(order_at(450), [2, 1, 3], "one that is late goes last");
+}
+
 #[test]
 fn retries_are_a_tenth_of_the_requests_after_the_first_few() {
     let mut budget = RetryBudget::new(3);
--- a/crates/admission/src/tests/overload.rs
+++ b/crates/admission/src/tests/overload.rs
@@ -35,6 +35,7 @@
                 key: key.clone(),
                 policy,
                 lane: Lane::Primary,
+                since: now,
                 deadline: now + DEADLINE,
             };
             arrived.push(now);
--- a/crates/admission/src/ticket.rs
+++ b/crates/admission/src/ticket.rs
@@ -14,6 +14,8 @@
     pub policy: Policy,
     /// Slots it competes for.
     pub lane: Lane,
+    /// When it came. One that is asked again, since a member declined it, keeps its age.
+    pub since: Time,
     /// When it stops being worth running.
     pub deadline: Time,
 }
--- a/crates/entry/src/data/serve.rs
+++ b/crates/entry/src/data/serve.rs
@@ -180,6 +180,7 @@
             need,
             key: RowKey { name: self.database.clone(), rank },
             policy: Policy { target: Some(route.target), ..Policy::default() },
+            since: turn.began,
             deadline: turn.deadline,
         };
         let mut granted = group.acquire(request);
--- a/crates/home/src/home.rs
+++ b/crates/home/src/home.rs
@@ -158,6 +158,7 @@
     ) {
         let req = submission.req;
         let ticket = Ticket {
+            since: now,
             item: req,
             key: submission.key.clone(),
             policy: submission.policy,
--- a/crates/pool/src/pool.rs
+++ b/crates/pool/src/pool.rs
@@ -29,6 +29,8 @@
     pub key: RowKey,
     /// Weight, limits and target.
     pub policy: Policy,
+    /// When the caller asked for it.
+    pub since: Time,
     /// When it stops being worth running.
     pub deadline: Time,
 }
@@ -117,8 +119,8 @@
     pub fn offer(&mut self, now: Time, request: Request) -> Result<(), &'static str> {
         let lane = self.lane(now, request.need);
         self.refresh_slots(now);
-        let Request { req, need, key, policy, deadline } = request;
-        let ticket = Ticket { item: req, key, policy, lane, deadline };
+        let Request { req, need, key, policy, since, deadline } = request;
+        let ticket = Ticket { item: req, key, policy, lane, since, deadline };
         self.scheduler.offer(now, ticket).map_err(refusal_reason)?;
         self.needs.insert(req, need);
         Ok(())
--- a/crates/pool/src/tests.rs
+++ b/crates/pool/src/tests.rs
@@ -64,7 +64,7 @@
         let key = RowKey { name: rank.as_str().to_owned(), rank };
         let policy = Policy { target: Some(target), ..Policy::default() };
         let deadline = self.now + Span::from_millis(1_000);
-        self.pool.offer(self.now, Request { req, need, key, policy, deadline })
+        self.pool.offer(self.now, Request { req, need, key, policy, since: self.now, deadline })
     }
 }
 
