Late requests are refused when the congestion is likely to outlast their time

Decision: admission::Scheduler::give_up_late; a late request goes when its lane has found no slot free of requests in time for four times the time that it has left.

--- a/crates/admission/src/class.rs
+++ b/crates/admission/src/class.rs
@@ -107,6 +107,34 @@
         Some(waiting)
     }
 
+    /// Whether a request waits in `lane` that can meet the target, if there is one.
+    pub(crate) fn has_one_in_time(&self, now: Time, lane: Lane) -> bool {
+        match self.policy.target {
+            Some(_) => self.first_in_time(now, lane).is_some(),
+            None => self.waiting_in(lane) > 0,
+        }
+    }
+
+    /// Removes the requests waiting in `lane` that cannot meet the target any more and
+    /// whose deadline passes within `wait`.
+    pub(crate) fn give_up_late(
+        &mut self,
+        now: Time,
+        lane: Lane,
+        wait: Span,
+        given_up: &mut Vec<T>,
+    ) {
+        let Some(target) = self.policy.target else { return };
+        let done = now + self.cost;
+        self.lanes[lane.index()].retain(|waiting| {
+            let hopeless = done > waiting.since + target && done + wait > waiting.deadline;
+            if hopeless {
+                given_up.push(waiting.item);
+            }
+            !hopeless
+        });
+    }
+
     fn first_in_time(&self, now: Time, lane: Lane) -> Option<usize> {
         let target = self.policy.target?;
         let in_time = |waiting: &Waiting<T>| now + self.cost <= waiting.since + target;
--- a/crates/admission/src/scheduler.rs
+++ b/crates/admission/src/scheduler.rs
@@ -9,6 +9,9 @@
     ticket::Ticket,
 };
 
+/// A congestion of unknown length that has lasted this many times a request's remaining
+/// time ends within that time in one case of five.
+const CONGESTION_PER_WAIT: u64 = 4;
 const RESERVE_WINDOW: Span = Span::from_millis(1_000);
 
 /// Order in which waiting requests are served.
@@ -34,6 +37,8 @@
     classes: Vec<Class<T>>,
     index: FastMap<RowKey, usize>,
     slots: [u32; Lane::COUNT],
+    /// When a free slot of a lane last found no request that could be in time.
+    calm_at: [Time; Lane::COUNT],
 }
 
 impl<T: Copy + Eq> Scheduler<T> {
@@ -44,6 +49,7 @@
             classes: Vec::new(),
             index: FastMap::default(),
             slots: [1; Lane::COUNT],
+            calm_at: [Time::default(); Lane::COUNT],
         }
     }
 
@@ -58,6 +64,9 @@
         self.classes[class].last_offer = Some(now);
         self.check(now, class, &ticket)?;
         self.catch_up_virtual_time(class);
+        if self.classes.iter().all(|class| class.waiting_in(ticket.lane) == 0) {
+            self.calm_at[ticket.lane.index()] = now;
+        }
         let waiting = Waiting { item: ticket.item, since: ticket.since, deadline: ticket.deadline };
         self.classes[class].push(ticket.lane, waiting);
         Ok(())
@@ -68,6 +77,9 @@
         if free == 0 {
             return None;
         }
+        if !self.classes.iter().any(|class| class.has_one_in_time(now, lane)) {
+            self.calm_at[lane.index()] = now;
+        }
         let by_floor = self.floor_class(now, lane);
         let class = by_floor.or_else(|| self.urgent_class(now, lane, free))?;
         let late_last = self.policing == Policing::LateLast;
@@ -114,6 +126,25 @@
         expired
     }
 
+    /// Removes and returns the late requests that will hardly run before their deadline.
+    ///
+    /// Late ones run when a slot finds no request that can be in time, so what counts is
+    /// how long the lane has been without such a moment.
+    pub fn give_up_late(&mut self, now: Time) -> Vec<T> {
+        let mut given_up = Vec::new();
+        if self.policing != Policing::LateLast {
+            return given_up;
+        }
+        for lane in Lane::ALL {
+            let congested = now.since(self.calm_at[lane.index()]);
+            let wait = Span::from_micros(congested.as_micros() / CONGESTION_PER_WAIT);
+            for class in &mut self.classes {
+                class.give_up_late(now, lane, wait, &mut given_up);
+            }
+        }
+        given_up
+    }
+
     /// Moves the requests of the replica lane for which `stays` is false to the
     /// primary lane, ahead of what waits there.
     pub fn move_to_primary(&mut self, stays: impl Fn(T) -> bool) {
--- a/crates/pool/src/pool.rs
+++ b/crates/pool/src/pool.rs
@@ -266,6 +266,13 @@
             self.needs.remove(&req);
             out.push(Action::Refuse { req, reason: "its time ran out while it waited" });
         }
+        for req in self.scheduler.give_up_late(now) {
+            self.needs.remove(&req);
+            out.push(Action::Refuse {
+                req,
+                reason: "it is late, and requests in time fill every slot",
+            });
+        }
     }
 
     /// Sends reads to the primary that no replica can serve.
