The stand-in of the users' platform is a library and a program of crates/standins

It was a support module of the entry tests; the soak and trials need it as well, as a process of its own. Members have terms now: an old primary goes on until it is told to step down or hears of the new one after a second, replicas lag and refuse what they lack, commits that a change cuts off are kept for checks (lines::tests). The support type with dyn is gone.

--- a/crates/entry/src/data/serve.rs
+++ b/crates/entry/src/data/serve.rs
@@ -184,7 +184,7 @@
             deadline: turn.deadline,
         };
         let mut granted = group.acquire(request);
-        loop {
+        let left = loop {
             let waits = async {
                 if self.conn.buffered() > 0 {
                     // The caller is there; what it says can wait.
@@ -199,12 +199,12 @@
                 }
                 Either::Left((Err(_), _)) => return Ok(Acquired::Refused("the daemon ends")),
                 Either::Right((Ok(()), _)) => {}
-                Either::Right((Err(error), _)) => {
-                    group.withdraw(req);
-                    return Err(error);
-                }
+                Either::Right((Err(error), _)) => break error,
             }
-        }
+        };
+        group.withdraw(req);
+        self.log_outcome(turn.id, "none", "the caller left while it waited");
+        Err(left)
     }
 
     async fn try_single(
--- a/crates/entry/tests/platform.rs
+++ b/crates/entry/tests/platform.rs
@@ -7,7 +7,7 @@
     time::{Duration, Instant},
 };
 
-use support::{Client, Daemon, World};
+use support::{Client, Daemon, databases, world};
 
 /// The users' bound for a change of primary.
 const CHANGE_LIMIT: Duration = Duration::from_secs(6);
@@ -39,8 +39,8 @@
 
 #[test]
 fn statements_transactions_values_and_names_work() {
-    let world = World::new();
-    let daemon = Daemon::start("d1", "127.0.1.1", 0.25, world.platform);
+    let world = world();
+    let daemon = Daemon::start("d1", "127.0.1.1", 0.25, world.addr);
     daemon.wait_ready();
     wait_for_writes(&daemon);
     let (mut one, mut other) = (client(&daemon, "orders"), client(&daemon, "lookups"));
@@ -49,15 +49,15 @@
 
     assert_eq!(one.query("BEGIN").state, "T");
     assert!(one.query("STORE lot-2 elm").result.is_ok());
-    assert_eq!(world.item("lot-2"), None);
+    assert_eq!(world.item(0, "lot-2"), None);
     let commit = one.query("COMMIT");
-    assert_eq!((commit.result, commit.state.as_str()), (Ok("m1.sig".to_owned()), "I"));
-    assert_eq!(world.item("lot-2").as_deref(), Some("elm"));
+    assert_eq!((commit.result, commit.state.as_str()), (Ok("svc1-m1.sig".to_owned()), "I"));
+    assert_eq!(world.item(0, "lot-2").as_deref(), Some("elm"));
 
     one.query("BEGIN");
     one.query("STORE lot-3 ash");
     assert_eq!(one.query("ROLLBACK").state, "I");
-    assert_eq!(world.item("lot-3"), None);
+    assert_eq!(world.item(0, "lot-3"), None);
 
     one.query("SET region south");
     one.query("PREPARE s1 STORE shape");
@@ -75,21 +75,21 @@
 /// caller may come back.
 #[test]
 fn a_name_that_members_lack_again_and_again_is_answered_busy() {
-    let world = World::new();
-    let daemon = Daemon::start("d1", "127.0.1.8", 0.25, world.platform);
+    let world = world();
+    let daemon = Daemon::start("d1", "127.0.1.8", 0.25, world.addr);
     daemon.wait_ready();
     wait_for_writes(&daemon);
     let mut session = client(&daemon, "orders");
     assert!(session.query("PREPARE s1 STORE forgotten").result.is_ok());
     let refusal = session.query("EXECUTE s1 lot-1 oak").result.unwrap_err();
     assert!(refusal.starts_with("BUSY"), "{refusal}");
-    assert_eq!(world.item("lot-1"), None);
+    assert_eq!(world.item(0, "lot-1"), None);
 }
 
 #[test]
 fn a_crashed_primary_is_replaced_and_no_write_is_lost() {
-    let world = World::new();
-    let daemon = Daemon::start("d1", "127.0.1.2", 0.25, world.platform);
+    let world = world();
+    let daemon = Daemon::start("d1", "127.0.1.2", 0.25, world.addr);
     daemon.wait_ready();
     wait_for_writes(&daemon);
     let mut session = client(&daemon, "orders");
@@ -99,7 +99,7 @@
             acknowledged.push(format!("before-{number}"));
         }
     }
-    world.crash("m1");
+    world.crash("svc1-m1");
     let mut number = 0;
     eventually(CHANGE_LIMIT, "a write after the crash", || {
         number += 1;
@@ -110,23 +110,23 @@
         }
         done
     });
-    assert_ne!(world.primary(), "m1");
+    assert_ne!(world.primary(0), "svc1-m1");
     for item in acknowledged {
-        assert_eq!(world.item(&item).as_deref(), Some("x"), "{item}");
+        assert_eq!(world.item(0, &item).as_deref(), Some("x"), "{item}");
     }
 }
 
 #[test]
 fn configurations_come_into_force_and_unknown_names_are_refused() {
-    let mut world = World::new();
-    let daemon = Daemon::start("d1", "127.0.1.3", 0.25, world.platform);
+    let world = world();
+    let daemon = Daemon::start("d1", "127.0.1.3", 0.25, world.addr);
     daemon.wait_ready();
     let refusal = Client::connect(daemon.callers, "nobody").err().expect("a refusal");
     assert!(refusal.starts_with("ERROR NODB"), "{refusal}");
-    world.configure(&["orders", "lookups", "nobody"]);
+    world.configure(&databases(&["orders", "lookups", "nobody"]));
     eventually(CONFIG_LIMIT, "a new name", || Client::connect(daemon.callers, "nobody").is_ok());
     let mut session = client(&daemon, "lookups");
-    world.configure(&["orders"]);
+    world.configure(&databases(&["orders"]));
     eventually(CONFIG_LIMIT, "a dropped name", || {
         session.query("FETCH x").result.is_err_and(|error| error.starts_with("NODB"))
     });
@@ -134,17 +134,17 @@
 
 #[test]
 fn a_daemon_alone_stops_using_the_primary_when_the_store_is_gone() {
-    let world = World::new();
-    let daemon = Daemon::start("d1", "127.0.1.4", 0.25, world.platform);
+    let world = world();
+    let daemon = Daemon::start("d1", "127.0.1.4", 0.25, world.addr);
     daemon.wait_ready();
     wait_for_writes(&daemon);
     let mut session = client(&daemon, "orders");
-    world.store.set_down(true);
+    world.set_store_down(true);
     eventually(Duration::from_secs(4), "a refusal", || {
         session.query("STORE a x").result.is_err_and(|error| error.starts_with("READONLY"))
     });
     assert!(!daemon.is_ready());
-    world.store.set_down(false);
+    world.set_store_down(false);
     eventually(Duration::from_secs(4), "writes again", || {
         session.query("STORE a x").result.is_ok()
     });
@@ -152,20 +152,20 @@
 
 #[test]
 fn two_daemons_stand_in_for_the_store_and_see_each_others_writes() {
-    let world = World::new();
-    let one = Daemon::start("d1", "127.0.1.5", 0.25, world.platform);
-    let two = Daemon::start("d2", "127.0.1.6", 0.25, world.platform);
+    let world = world();
+    let one = Daemon::start("d1", "127.0.1.5", 0.25, world.addr);
+    let two = Daemon::start("d2", "127.0.1.6", 0.25, world.addr);
     for daemon in [&one, &two] {
         daemon.wait_ready();
         wait_for_writes(daemon);
     }
     eventually(Duration::from_secs(3), "two carriers", || {
-        world.store.count("corianderwharf", "carrier/") == 2
+        world.count_rows("corianderwharf", "carrier/") == 2
     });
     eventually(Duration::from_secs(3), "answers of each other", || {
         one.is_granted_without_store() && two.is_granted_without_store()
     });
-    world.store.set_down(true);
+    world.set_store_down(true);
     let (mut here, mut there) = (client(&one, "orders"), client(&two, "orders"));
     let end = Instant::now() + TWO_GRANTS;
     let mut number = 0;
@@ -178,8 +178,8 @@
 
 #[test]
 fn a_planned_stop_lets_a_transaction_end_and_leaves_in_order() {
-    let world = World::new();
-    let mut daemon = Daemon::start("d1", "127.0.1.7", 0.25, world.platform);
+    let world = world();
+    let mut daemon = Daemon::start("d1", "127.0.1.7", 0.25, world.addr);
     daemon.wait_ready();
     wait_for_writes(&daemon);
     let mut session = client(&daemon, "orders");
@@ -188,7 +188,7 @@
     daemon.terminate();
     eventually(Duration::from_secs(1), "not ready", || !daemon.is_ready());
     assert!(session.query("COMMIT").result.is_ok());
-    assert_eq!(world.item("last").as_deref(), Some("one"));
+    assert_eq!(world.item(0, "last").as_deref(), Some("one"));
     drop(session);
     assert!(daemon.wait());
 }
--- a/crates/entry/tests/support/mod.rs
+++ b/crates/entry/tests/support/mod.rs
@@ -1,10 +1,24 @@
-//! A stand-in of the users' platform on loopback: the store, the failover call and the
-//! members of one group, so that the daemon runs here as it does there.
+//! The real daemon and a caller, for tests against the stand-in of the users' platform.
 
 mod client;
 mod daemon;
-mod member;
-mod store;
-mod world;
 
-pub use self::{client::Client, daemon::Daemon, world::World};
+use base::Span;
+use standins::lines::{Options, Platform};
+
+pub use self::{client::Client, daemon::Daemon};
+
+/// A platform with one group of three members, of which `svc1-m1` leads.
+pub fn world() -> Platform {
+    let options = Options {
+        groups: vec!["svc1".to_owned()],
+        lag: Span::ZERO,
+        databases: databases(&["orders", "lookups"]),
+    };
+    Platform::start(&options).expect("the set-up of the test works")
+}
+
+/// Databases of the one group.
+pub fn databases(names: &[&str]) -> Vec<Vec<String>> {
+    vec![names.iter().map(|name| (*name).to_owned()).collect()]
+}
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -2,6 +2,7 @@
 //! the platform's table service, object store and VM list. For trials and
 //! tests only; the daemon does not know this crate.
 
+pub mod lines;
 pub mod member;
 pub mod platform;
 
--- /dev/null
+++ b/crates/standins/src/lines/control.rs
@@ -0,0 +1,91 @@
+//! The failover call, and the calls by which tests and the soak steer this stand-in.
+
+use std::net::SocketAddr;
+
+use axum::{
+    Json, Router,
+    extract::State,
+    http::StatusCode,
+    routing::{get, post},
+};
+use base::Span;
+use serde_json::{Value, json};
+
+use super::platform::Platform;
+
+/// An order to this stand-in.
+#[derive(Clone, Debug)]
+#[derive(serde::Deserialize, serde::Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Steer {
+    /// Databases of each group.
+    Configure(Vec<Vec<String>>),
+    /// Whether the store refuses every call.
+    StoreDown(bool),
+    /// Further writes to the store that are done and not answered.
+    LoseAnswers(u32),
+    /// The store forgets its history.
+    Forget,
+    /// Replicas of all groups apply commits so many milliseconds late.
+    LagMs(u64),
+    /// A member ends.
+    Crash(String),
+    /// A member that has ended starts again.
+    Restart(String),
+    /// A member is reached at another address from now on.
+    Advertise(String, SocketAddr),
+}
+
+pub(crate) fn router(platform: Platform) -> Router {
+    Router::new()
+        .route("/failover", post(fail_over))
+        .route("/standin/steer", post(steer))
+        .route("/standin/members", get(members))
+        .route("/standin/commits", get(commits))
+        .with_state(platform)
+}
+
+async fn fail_over(State(platform): State<Platform>, Json(body): Json<Value>) -> StatusCode {
+    let text = |name: &str| body[name].as_str().unwrap_or_default();
+    let led = platform.shared.fail_over(text("service"), text("id"));
+    if led { StatusCode::OK } else { StatusCode::CONFLICT }
+}
+
+async fn steer(State(platform): State<Platform>, Json(order): Json<Steer>) -> Json<u64> {
+    let mut version = 0;
+    match order {
+        Steer::Configure(databases) => version = platform.configure(&databases),
+        Steer::StoreDown(down) => platform.set_store_down(down),
+        Steer::LoseAnswers(count) => platform.shared.store.state().lost_answers = count,
+        Steer::Forget => {
+            let mut state = platform.shared.store.state();
+            state.rows.forgotten = state.rows.version;
+        }
+        Steer::LagMs(millis) => {
+            for group in 0..platform.shared.groups.len() {
+                platform.group(group).set_lag(Span::from_millis(millis));
+            }
+        }
+        Steer::Crash(id) => platform.crash(&id),
+        Steer::Restart(id) => platform.restart(&id),
+        Steer::Advertise(id, addr) => platform.shared.advertise(&id, addr),
+    }
+    Json(version)
+}
+
+async fn members(State(platform): State<Platform>) -> Json<Vec<(String, SocketAddr)>> {
+    Json(platform.shared.members())
+}
+
+/// For each group the requests whose commits the primary's log holds, with the number of
+/// writes, and those that a change of primary has cut off.
+async fn commits(State(platform): State<Platform>) -> Json<Value> {
+    let groups = (0..platform.shared.groups.len()).map(|index| {
+        let group = platform.group(index);
+        let requests = |commits: &[super::Commit]| -> Vec<_> {
+            commits.iter().map(|it| (it.request.clone(), it.writes.len())).collect()
+        };
+        json!({"kept": requests(group.commits()), "lost": requests(group.lost())})
+    });
+    Json(groups.collect())
+}
--- /dev/null
+++ b/crates/standins/src/lines/session.rs
@@ -0,0 +1,184 @@
+use std::{
+    collections::BTreeMap,
+    sync::{Arc, Mutex, PoisonError},
+};
+
+use adapter::{Code, Statement, Verb, format_position, split_after};
+use tokio::{
+    io::{AsyncBufReadExt, AsyncWriteExt, BufReader},
+    net::{TcpStream, tcp},
+};
+
+use super::{
+    group::{Group, Refusal},
+    platform::now,
+};
+
+/// Item whose value is what the session has set, so that a caller sees it.
+const VALUES: &str = "values";
+/// Shape of a statement that is lost as soon as it is prepared.
+const FORGOTTEN: &str = "forgotten";
+
+/// A connection to a member.
+#[derive(Debug)]
+pub(crate) struct Session {
+    pub(crate) service: String,
+    pub(crate) id: String,
+    pub(crate) group: Arc<Mutex<Group>>,
+    /// Writes of the open transaction.
+    open: Option<Vec<(String, String)>>,
+    values: BTreeMap<String, String>,
+    names: BTreeMap<String, Verb>,
+}
+
+type Answer = Result<(Vec<String>, bool), Code>;
+
+impl Session {
+    pub(crate) fn new(service: String, id: String, group: Arc<Mutex<Group>>) -> Session {
+        let (values, names) = (BTreeMap::new(), BTreeMap::new());
+        Session { service, id, group, open: None, values, names }
+    }
+
+    /// Serves a connection until it ends.
+    pub(crate) async fn serve(mut self, stream: TcpStream) {
+        let (rx, mut tx) = stream.into_split();
+        let mut lines = BufReader::new(rx).lines();
+        let Ok(Some(startup)) = lines.next_line().await else { return };
+        let words: Vec<_> = startup.split(' ').collect();
+        let wrong = words.get(3).is_some_and(|id| *id != self.id);
+        if words.get(1) != Some(&self.service.as_str()) || wrong {
+            return send(&mut tx, "ERROR MISROUTED another member\r\n").await;
+        }
+        send(&mut tx, &self.ready()).await;
+        while let Ok(Some(line)) = lines.next_line().await {
+            let mut words = line.splitn(3, ' ');
+            let (Some("QUERY"), Some(request), Some(text)) =
+                (words.next(), words.next(), words.next())
+            else {
+                return;
+            };
+            let answer = self.run(request, text);
+            let answer = format!("{}{}", self.format(answer), self.ready());
+            send(&mut tx, &answer).await;
+        }
+    }
+
+    fn group(&self) -> std::sync::MutexGuard<'_, Group> {
+        let mut group = self.group.lock().unwrap_or_else(PoisonError::into_inner);
+        group.advance(now());
+        group
+    }
+
+    fn ready(&self) -> String {
+        let state = if self.open.is_some() { "T" } else { "I" };
+        format!("READY {state} {}\r\n", format_position(self.group().position(&self.id)))
+    }
+
+    fn format(&self, answer: Answer) -> String {
+        match answer {
+            Ok((rows, signed)) => {
+                let rows: String = rows.iter().map(|row| format!("ROW {row}\r\n")).collect();
+                let signature = if signed { format!("{}.sig", self.id) } else { "-".to_owned() };
+                format!("{rows}COMPLETE {signature}\r\n")
+            }
+            Err(code) => format!("ERROR {} {}\r\n", code.as_str(), self.id),
+        }
+    }
+
+    fn run(&mut self, request: &str, text: &str) -> Answer {
+        let (after, text) = split_after(text);
+        if after.is_some() {
+            self.group().check(&self.id, after, false).map_err(code)?;
+        }
+        let mut words = text.split(' ');
+        match (words.next(), words.next()) {
+            (Some("STATUS"), _) => return Ok((vec![self.status()], false)),
+            (Some("STEPDOWN"), term) => {
+                let term = term.and_then(|term| term.parse().ok()).ok_or(Code::Malformed)?;
+                self.group().step_down(&self.id, term);
+                return Ok((vec![self.status()], false));
+            }
+            (Some("RESET"), None) => {
+                (self.open, self.values, self.names) = Default::default();
+                return Ok((Vec::new(), false));
+            }
+            _ => {}
+        }
+        match Statement::parse(text).ok_or(Code::Malformed)? {
+            Statement::Begin { read_only } => {
+                self.group().check(&self.id, None, !read_only).map_err(code)?;
+                self.open = Some(Vec::new());
+            }
+            Statement::Rollback => self.open = None,
+            Statement::Commit => {
+                let writes = self.open.take().unwrap_or_default();
+                if !writes.is_empty() {
+                    self.commit(request, writes)?;
+                }
+                return Ok((Vec::new(), true));
+            }
+            Statement::Set { name, value } => {
+                self.values.insert(name.to_owned(), value.to_owned());
+            }
+            Statement::Prepare { name, shape } if shape.text != FORGOTTEN => {
+                self.names.insert(name.to_owned(), shape.verb);
+            }
+            Statement::Prepare { .. } => {}
+            Statement::Deallocate { name } => {
+                self.names.remove(name);
+            }
+            Statement::Execute { name, arguments } => {
+                let verb = *self.names.get(name).ok_or(Code::NoStatement)?;
+                return self.data(request, verb, arguments);
+            }
+            Statement::Data(verb) => {
+                let (_, arguments) = text.split_once(' ').unwrap_or_default();
+                return self.data(request, verb, arguments);
+            }
+        }
+        Ok((Vec::new(), false))
+    }
+
+    fn data(&mut self, request: &str, verb: Verb, arguments: &str) -> Answer {
+        let (item, value) = arguments.split_once(' ').unwrap_or((arguments, ""));
+        if verb == Verb::Fetch {
+            let value = match item {
+                VALUES => format!("{:?}", self.values),
+                item => self.group().read(&self.id, item).unwrap_or_default().to_owned(),
+            };
+            return Ok((vec![value], true));
+        }
+        let write = (item.to_owned(), value.to_owned());
+        if self.open.is_some() {
+            self.group().check(&self.id, None, true).map_err(code)?;
+        }
+        match &mut self.open {
+            Some(writes) => writes.push(write),
+            None => self.commit(request, vec![write])?,
+        }
+        Ok((Vec::new(), true))
+    }
+
+    fn commit(&self, request: &str, writes: Vec<(String, String)>) -> Result<(), Code> {
+        self.group().commit(now(), &self.id, request, writes).map_err(code)
+    }
+
+    fn status(&self) -> String {
+        let group = self.group();
+        let role = if group.leads(&self.id) { "primary" } else { "replica" };
+        let (term, received) = (group.term(&self.id), group.received(&self.id));
+        format!("{role} {term} {} 0 0 0 1", format_position(received))
+    }
+}
+
+fn code(refusal: Refusal) -> Code {
+    match refusal {
+        Refusal::ReadOnly => Code::ReadOnly,
+        Refusal::Lagging => Code::Lagging,
+    }
+}
+
+async fn send(tx: &mut tcp::OwnedWriteHalf, text: &str) {
+    // The other side may have closed the connection.
+    let _ = tx.write_all(text.as_bytes()).await;
+}
