A soak of real processes with faults from outside them

crates/soak: the daemons and the stand-in as processes, a proxy before the store (one a daemon) and before each member, signals, and orders to the stand-in; callers write rising numbers and read them back through any daemon, and in the end what they were told is held against the commits of the primaries. Seeds that four divides play planned work only. The clocks of the daemons are not stepped: without preloading nothing outside a process can.

--- /dev/null
+++ b/crates/soak/src/deployment.rs
@@ -0,0 +1,262 @@
+use std::{
+    fs, io,
+    io::{BufRead, BufReader},
+    net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener, UdpSocket},
+    path::PathBuf,
+    time::{Duration, Instant},
+};
+
+use rustix::process::Signal;
+use standins::lines::{Options as StandInOptions, Steer};
+
+use crate::{
+    fault::Fault,
+    options::Options,
+    process::Process,
+    proxy::{Mode, Proxy},
+    run::SoakError,
+};
+
+/// Usual lag of the replicas.
+const LAG_MS: u64 = 30;
+/// Time after which the platform starts a process again that has ended.
+const START_AGAIN: Duration = Duration::from_millis(200);
+
+/// The processes under test, and what stands between them.
+pub(crate) struct Deployment {
+    _standin: Process,
+    platform: SocketAddr,
+    http: reqwest::Client,
+    pub(crate) daemons: Vec<Daemon>,
+    members: Vec<(String, Proxy)>,
+    groups: usize,
+    /// Whether the last configuration has a database more.
+    extra: bool,
+}
+
+/// A daemon's process and its surroundings.
+pub(crate) struct Daemon {
+    process: Option<Process>,
+    program: PathBuf,
+    settings: PathBuf,
+    log: PathBuf,
+    pub(crate) callers: SocketAddr,
+    store: Proxy,
+    /// Faults that keep it down.
+    held: u32,
+    start_at: Option<Instant>,
+    /// Whether it was told to end.
+    told: bool,
+}
+
+impl Deployment {
+    pub(crate) async fn start(options: &Options) -> Result<Deployment, SoakError> {
+        fs::create_dir_all(&options.logs)?;
+        let groups = options.groups.to_string();
+        let lag = LAG_MS.to_string();
+        let program = options.programs.join("corianderwharf-lines-standin");
+        let mut standin = Process::start_piped(&program, &["--groups", &groups, "--lag-ms", &lag])?;
+        let platform = told_address(&mut standin)?;
+        let http = reqwest::Client::builder().no_proxy().build()?;
+        let members: Vec<(String, SocketAddr)> =
+            http.get(format!("http://{platform}/standin/members")).send().await?.json().await?;
+        let mut deployment = Deployment {
+            _standin: standin,
+            platform,
+            http,
+            daemons: Vec::new(),
+            members: Vec::new(),
+            groups: options.groups,
+            extra: false,
+        };
+        for (id, addr) in members {
+            let proxy = Proxy::start(addr).await?;
+            deployment.steer(&Steer::Advertise(id.clone(), proxy.addr)).await?;
+            deployment.members.push((id, proxy));
+        }
+        for index in 0..options.daemons {
+            let daemon = Daemon::new(options, index, platform).await?;
+            deployment.daemons.push(daemon);
+        }
+        Ok(deployment)
+    }
+
+    async fn steer(&self, order: &Steer) -> Result<(), SoakError> {
+        let url = format!("http://{}/standin/steer", self.platform);
+        self.http.post(url).json(order).send().await?.error_for_status()?;
+        Ok(())
+    }
+
+    /// For each group the requests that its primary holds commits of, each with the
+    /// number of its writes.
+    pub(crate) async fn commits(&self) -> Result<Vec<Vec<(String, usize)>>, SoakError> {
+        let url = format!("http://{}/standin/commits", self.platform);
+        let groups: Vec<serde_json::Value> = self.http.get(url).send().await?.json().await?;
+        let kept = groups.into_iter().map(|group| serde_json::from_value(group["kept"].clone()));
+        Ok(kept.collect::<Result<_, _>>()?)
+    }
+
+    /// Database that exists only by the newest configuration, or no longer does.
+    pub(crate) fn extra_database(&self) -> (&'static str, bool) {
+        ("extra", self.extra)
+    }
+
+    pub(crate) async fn begin(&mut self, fault: Fault) -> Result<(), SoakError> {
+        match fault {
+            Fault::Kill(daemon) => self.daemons[daemon].kill()?,
+            Fault::KillAll => {
+                for daemon in &mut self.daemons {
+                    daemon.kill()?;
+                }
+            }
+            Fault::Pause(daemon) => self.daemons[daemon].signal(Signal::STOP)?,
+            Fault::Terminate(daemon) => self.daemons[daemon].terminate()?,
+            Fault::Hangup(daemon) => self.daemons[daemon].signal(Signal::HUP)?,
+            Fault::StoreLink(daemon, mode) => self.daemons[daemon].store.set(mode),
+            Fault::MemberLink(member, mode) => self.members[member].1.set(mode),
+            Fault::MemberCrash(member) => {
+                self.steer(&Steer::Crash(self.members[member].0.clone())).await?;
+            }
+            Fault::PrimaryCrash(group) => self.steer(&Steer::CrashPrimary(group)).await?,
+            Fault::StoreDown => self.steer(&Steer::StoreDown(true)).await?,
+            Fault::LoseAnswers(count) => self.steer(&Steer::LoseAnswers(count)).await?,
+            Fault::Forget => self.steer(&Steer::Forget).await?,
+            Fault::Lag(millis) => self.steer(&Steer::LagMs(millis)).await?,
+            Fault::Configure => {
+                self.extra = !self.extra;
+                let mut databases: Vec<_> =
+                    (0..self.groups).map(StandInOptions::databases_of).collect();
+                if self.extra {
+                    databases[0].push("extra".to_owned());
+                }
+                self.steer(&Steer::Configure(databases)).await?;
+            }
+        }
+        Ok(())
+    }
+
+    pub(crate) async fn end(&mut self, fault: Fault) -> Result<(), SoakError> {
+        match fault {
+            Fault::Kill(daemon) => self.daemons[daemon].release(),
+            Fault::KillAll => self.daemons.iter_mut().for_each(Daemon::release),
+            Fault::Pause(daemon) => self.daemons[daemon].signal(Signal::CONT)?,
+            Fault::StoreLink(daemon, _) => self.daemons[daemon].store.set(Mode::Open),
+            Fault::MemberLink(member, _) => self.members[member].1.set(Mode::Open),
+            Fault::MemberCrash(member) => {
+                self.steer(&Steer::Restart(self.members[member].0.clone())).await?;
+            }
+            Fault::PrimaryCrash(_) => {
+                for (id, _) in &self.members {
+                    self.steer(&Steer::Restart(id.clone())).await?;
+                }
+            }
+            Fault::StoreDown => self.steer(&Steer::StoreDown(false)).await?,
+            Fault::LoseAnswers(_) => self.steer(&Steer::LoseAnswers(0)).await?,
+            Fault::Lag(_) => self.steer(&Steer::LagMs(LAG_MS)).await?,
+            Fault::Terminate(_) | Fault::Hangup(_) | Fault::Forget | Fault::Configure => {}
+        }
+        Ok(())
+    }
+
+    /// Starts processes again that have ended; those that ended untold.
+    pub(crate) fn keep_up(&mut self) -> Result<Vec<usize>, SoakError> {
+        let mut fallen = Vec::new();
+        for (index, daemon) in self.daemons.iter_mut().enumerate() {
+            if daemon.keep_up()? {
+                fallen.push(index);
+            }
+        }
+        Ok(fallen)
+    }
+}
+
+impl Daemon {
+    async fn new(
+        options: &Options,
+        index: usize,
+        platform: SocketAddr,
+    ) -> Result<Daemon, SoakError> {
+        // An address of its own, since the port of the metrics is the same for all.
+        let [high, low] = ((std::process::id() % 16_000) as u16).to_be_bytes();
+        let ip = IpAddr::V4(Ipv4Addr::new(127, 64 + high, low, index as u8 + 1));
+        let callers = TcpListener::bind((ip, 0))?.local_addr()?;
+        let readiness = TcpListener::bind((ip, 0))?.local_addr()?;
+        let inner = UdpSocket::bind((ip, 0))?.local_addr()?.port();
+        let store = Proxy::start(platform).await?;
+        let name = format!("d{index}");
+        let text = format!(
+            "node_name = \"{name}\"\nzone = \"z{}\"\nport_range = [{inner}, {inner}]\n\
+             heartbeat_ms = 1200\n[zones]\nz0 = \"r\"\nz1 = \"r\"\n[listen]\n\
+             frontend = \"{callers}\"\nreadiness = \"{readiness}\"\n[limits]\n\
+             cpu_share = 0.25\ncores = 1\n[bounds]\ngrace_s = 6\n[platform]\n\
+             addr = \"{}\"\n[cloud_api]\naddr = \"{}\"\n",
+            index % 2,
+            store.addr,
+            store.addr,
+        );
+        let settings = options.logs.join(format!("{name}.toml"));
+        fs::write(&settings, text)?;
+        Ok(Daemon {
+            process: None,
+            program: options.programs.join("corianderwharf-entry"),
+            settings,
+            log: options.logs.join(format!("{name}.log")),
+            callers,
+            store,
+            held: 0,
+            start_at: Some(Instant::now()),
+            told: false,
+        })
+    }
+
+    fn signal(&mut self, signal: Signal) -> Result<(), SoakError> {
+        match &mut self.process {
+            Some(process) => Ok(process.signal(signal)?),
+            None => Ok(()),
+        }
+    }
+
+    fn kill(&mut self) -> Result<(), SoakError> {
+        self.held += 1;
+        self.told = true;
+        self.signal(Signal::KILL)
+    }
+
+    fn release(&mut self) {
+        self.held = self.held.saturating_sub(1);
+    }
+
+    fn terminate(&mut self) -> Result<(), SoakError> {
+        self.told = true;
+        self.signal(Signal::TERM)
+    }
+
+    /// Starts the process if it is time to; whether it ended untold.
+    fn keep_up(&mut self) -> Result<bool, SoakError> {
+        let mut fell = false;
+        if let Some(process) = &mut self.process
+            && process.has_ended()?
+        {
+            self.process = None;
+            self.start_at = Some(Instant::now() + START_AGAIN);
+            fell = !self.told;
+        }
+        let due = self.start_at.is_some_and(|at| Instant::now() >= at);
+        if self.process.is_none() && self.held == 0 && due {
+            let settings = self.settings.to_string_lossy();
+            let args = ["--settings", &settings];
+            self.process = Some(Process::start(&self.program, &args, &self.log)?);
+            (self.start_at, self.told) = (None, false);
+        }
+        Ok(fell)
+    }
+}
+
+/// The address that the stand-in prints once it serves.
+fn told_address(standin: &mut Process) -> Result<SocketAddr, SoakError> {
+    let stdout = standin.child().stdout.take().ok_or_else(|| io::Error::other("no output"))?;
+    let mut line = String::new();
+    BufReader::new(stdout).read_line(&mut line)?;
+    let addr = line.trim().strip_prefix("platform ").and_then(|addr| addr.parse().ok());
+    addr.ok_or_else(|| io::Error::other(format!("the stand-in said {line:?}")).into())
+}
--- /dev/null
+++ b/crates/soak/src/fault.rs
@@ -0,0 +1,101 @@
+use std::time::Duration;
+
+use rand::{Rng, seq::IndexedRandom};
+use rand_chacha::ChaCha8Rng;
+
+use crate::{options::Options, proxy::Mode};
+
+/// Pause between the beginnings of two faults, in ms.
+const PAUSE_MS: (u64, u64) = (300, 1_800);
+/// Length of a fault, in ms: up to what a daemon bridges without the store, and beyond.
+const LENGTH_MS: (u64, u64) = (200, 6_000);
+
+/// Something that goes wrong, or is planned.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum Fault {
+    /// A daemon is killed, and starts again at the end.
+    Kill(usize),
+    /// Every daemon is killed.
+    KillAll,
+    /// A daemon stands still.
+    Pause(usize),
+    /// A daemon is stopped as planned, and starts again once it has ended.
+    Terminate(usize),
+    /// A daemon reads its settings again.
+    Hangup(usize),
+    /// A daemon's way to the store.
+    StoreLink(usize, Mode),
+    /// The way to a member.
+    MemberLink(usize, Mode),
+    /// A member ends, and starts again at the end.
+    MemberCrash(usize),
+    /// A group's primary ends, and starts again at the end.
+    PrimaryCrash(usize),
+    /// The store refuses every call.
+    StoreDown,
+    /// Answers of the store's next writes are lost.
+    LoseAnswers(u32),
+    /// The store forgets its history.
+    Forget,
+    /// Replicas apply commits so many milliseconds late.
+    Lag(u64),
+    /// A configuration with one more database, or one fewer.
+    Configure,
+}
+
+/// A fault with its time.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Planned {
+    pub(crate) at: Duration,
+    pub(crate) length: Duration,
+    pub(crate) fault: Fault,
+}
+
+/// The faults of a run, in order; they may overlap.
+pub(crate) fn schedule(options: &Options, rng: &mut ChaCha8Rng) -> Vec<Planned> {
+    let mut planned = Vec::new();
+    let mut at_ms = 0;
+    loop {
+        at_ms += rng.random_range(PAUSE_MS.0..PAUSE_MS.1);
+        if at_ms >= options.seconds * 1_000 {
+            return planned;
+        }
+        let fault = match options.is_planned() {
+            true => planned_work(options, rng),
+            false => any(options, rng),
+        };
+        let length = Duration::from_millis(rng.random_range(LENGTH_MS.0..LENGTH_MS.1));
+        planned.push(Planned { at: Duration::from_millis(at_ms), length, fault });
+    }
+}
+
+fn planned_work(options: &Options, rng: &mut ChaCha8Rng) -> Fault {
+    let daemon = rng.random_range(0..options.daemons);
+    match rng.random_range(0..5) {
+        0..3 => Fault::Terminate(daemon),
+        3 => Fault::Hangup(daemon),
+        _ => Fault::Configure,
+    }
+}
+
+fn any(options: &Options, rng: &mut ChaCha8Rng) -> Fault {
+    let daemon = rng.random_range(0..options.daemons);
+    let member = rng.random_range(0..options.groups * 3);
+    let slow = Mode::Slow(Duration::from_millis(rng.random_range(5..400)));
+    let modes = [Mode::Silent, Mode::OneWay, Mode::Reset, slow];
+    let mode = *modes.choose(rng).unwrap_or(&Mode::Silent);
+    match rng.random_range(0..22) {
+        0..3 => Fault::Kill(daemon),
+        3 => Fault::KillAll,
+        4..7 => Fault::Pause(daemon),
+        7..9 => planned_work(options, rng),
+        9..12 => Fault::StoreLink(daemon, mode),
+        12..15 => Fault::MemberLink(member, mode),
+        15 => Fault::MemberCrash(member),
+        16..18 => Fault::PrimaryCrash(rng.random_range(0..options.groups)),
+        18 => Fault::StoreDown,
+        19 => Fault::LoseAnswers(rng.random_range(1..6)),
+        20 => Fault::Forget,
+        _ => Fault::Lag(rng.random_range(100..3_000)),
+    }
+}
--- /dev/null
+++ b/crates/soak/src/main.rs
@@ -0,0 +1,83 @@
+//! Soaks the platform edition in faults, seed after seed.
+
+use std::{path::PathBuf, process};
+
+use cli::{Args, ArgsError, Failure};
+use soak::Options;
+
+const PROGRAM: &str = "corianderwharf-soak";
+const MOST_PROCESSES: usize = 200;
+const HELP: &str = "
+corianderwharf-soak: real daemons as processes on this machine, faults from outside
+them, and checks of what callers were promised
+
+Usage: corianderwharf-soak [OPTIONS]
+
+Options:
+      --seed N       first seed [1]
+      --seeds N      number of seeds, one after the other [1]
+      --seconds N    how long faults go on [20]
+      --daemons N    daemons, 1 to 200 [6]
+      --groups N     groups of three members, 1 to 50 [2]
+      --callers N    callers [24]
+      --logs DIR     where logs of the processes are written [target/soak]
+      --check        check the options and end
+  -h, --help         show this text
+  -V, --version      show the version
+
+Seeds that four divides play planned work only, and no request may be cut then. The
+programs under test are those beside this one. Exit codes: 0 every promise was kept,
+1 one was broken or a run could not be made, 2 wrong usage.
+";
+
+fn main() -> process::ExitCode {
+    cli::run(PROGRAM, HELP, run)
+}
+
+fn run(mut args: Args) -> Result<(), Failure> {
+    let first: u64 = args.option("--seed")?.unwrap_or(1);
+    let seeds: u64 = args.option("--seeds")?.unwrap_or(1);
+    let seconds = args.option("--seconds")?.unwrap_or(20);
+    let daemons = args.option("--daemons")?.unwrap_or(6);
+    let groups = args.option("--groups")?.unwrap_or(2);
+    let callers = args.option("--callers")?.unwrap_or(24);
+    let logs: PathBuf = args.option("--logs")?.unwrap_or_else(|| "target/soak".into());
+    let check = args.flag("--check");
+    args.finish()?;
+    if !(1..=MOST_PROCESSES).contains(&daemons) {
+        return Err(ArgsError::new(format!("--daemons: {daemons}; allowed: 1 to 200")).into());
+    }
+    if !(1..=50).contains(&groups) {
+        return Err(ArgsError::new(format!("--groups: {groups}; allowed: 1 to 50")).into());
+    }
+    if check {
+        return Ok(());
+    }
+    let own = std::env::current_exe().map_err(Failure::new)?;
+    let programs = own.parent().map(PathBuf::from).unwrap_or_default();
+    let mut broken = 0;
+    for seed in first..first + seeds {
+        let logs = logs.join(format!("seed-{seed}"));
+        let programs = programs.clone();
+        let options = Options { seed, seconds, daemons, groups, callers, programs, logs };
+        let outcome = soak::run(&options).map_err(Failure::new)?;
+        println!(
+            "seed {seed}: {} statements, {} successes, {} writes, {} faults, serving again after \
+             {:?}, {} broken",
+            outcome.statements,
+            outcome.successes,
+            outcome.writes,
+            outcome.faults,
+            outcome.recovery,
+            outcome.broken.len()
+        );
+        for line in &outcome.broken {
+            println!("seed {seed}: BROKEN {line}");
+        }
+        broken += usize::from(!outcome.broken.is_empty());
+    }
+    if broken > 0 {
+        return Err(Failure::new(format!("{broken} of {seeds} seeds broke a promise")));
+    }
+    Ok(())
+}
--- a/crates/standins/src/lines/control.rs
+++ b/crates/standins/src/lines/control.rs
@@ -30,6 +30,8 @@
     LagMs(u64),
     /// A member ends.
     Crash(String),
+    /// The member that leads a group ends.
+    CrashPrimary(usize),
     /// A member that has ended starts again.
     Restart(String),
     /// A member is reached at another address from now on.
@@ -67,6 +69,7 @@
             }
         }
         Steer::Crash(id) => platform.crash(&id),
+        Steer::CrashPrimary(group) => platform.crash(&platform.primary(group)),
         Steer::Restart(id) => platform.restart(&id),
         Steer::Advertise(id, addr) => platform.shared.advertise(&id, addr),
     }
