One client and one stand-in of the store for both editions

Cause: crates/platform spoke a protocol of its own to a stand-in of its own, so that there were two clients, two stores and two copies of rows, conditions and transactions. It now keeps the records of the PostgreSQL edition through the client in platform/ (which gained objects and single rows), and crates/standins has one store, under both editions' groups. Versions of rows are the store's now, so a write tells its version instead of assuming the next. A conflict no longer carries rows, which nobody read; the VM list is a table, and its lag, which nothing set, is gone.

--- a/crates/ctl/src/put.rs
+++ b/crates/ctl/src/put.rs
@@ -61,13 +61,13 @@
         let from = self.from;
         let merged = merge(base, &in_force, &self.edit).context(MergeSnafu { from })?;
         let version = pointer.version + 1;
-        let object = format!("tables/{version}-{}-{attempt}", unique());
+        let object = format!("tables-{version}-{}-{attempt}", unique());
         self.tables.client.put_object(&object, &merged.to_csv()).await?;
         let next = successor(&pointer, version, &object);
         let outcome = PutOutcome { version, merged: pointer.version != self.from };
         match self.write(row_version, &next).await {
             Ok(()) => Ok(Ok(outcome)),
-            Err(error @ PlatformError::Conflict { .. }) => Ok(Err(error)),
+            Err(error @ PlatformError::Conflict) => Ok(Err(error)),
             Err(error) => {
                 let (_, now) = self.tables.pointer().await?;
                 let came_about =
--- a/crates/daemon/src/control/platform_writes.rs
+++ b/crates/daemon/src/control/platform_writes.rs
@@ -21,8 +21,8 @@
         by: Some(by),
     };
     let event = match write(&client, &key, expected, &record).await {
-        Ok(()) => Event::Written { version: expected + 1 },
-        Err(PlatformError::Conflict { .. }) => return read_reign(client, group, tx).await,
+        Ok(version) => Event::Written { version },
+        Err(PlatformError::Conflict) => return read_reign(client, group, tx).await,
         Err(error) => {
             logs::warn(&format!("recording a primary of {group}: {error}"));
             Event::WriteUnknown
@@ -50,7 +50,7 @@
     };
     let record = HomeRecord { number, vm, incarnation: incarnation.0, handed_over };
     match write(&client, &HomeRecord::key(&group), version, &record).await {
-        Ok(()) | Err(PlatformError::Conflict { .. }) => {}
+        Ok(_) | Err(PlatformError::Conflict) => {}
         Err(error) => logs::warn(&format!("claiming {group}: {error}")),
     }
 }
@@ -66,9 +66,9 @@
     key: &str,
     expected: u64,
     record: &impl serde::Serialize,
-) -> Result<(), PlatformError> {
+) -> Result<u64, PlatformError> {
     let value = serde_json::to_value(record)?;
     let conditions = [Condition { key: key.to_owned(), version: expected }];
     let writes = [Write { key: key.to_owned(), value }];
-    client.transact(&conditions, &writes).await.map(|_| ())
+    client.transact(&conditions, &writes).await
 }
--- a/crates/daemon/src/control/watch.rs
+++ b/crates/daemon/src/control/watch.rs
@@ -58,7 +58,7 @@
 
     async fn look(&mut self, with_vms: bool) -> Result<(), PlatformError> {
         let asked_at = self.clock.now();
-        let changed = self.client.rows("", self.revision).await?;
+        let changed = self.client.rows(self.revision).await?;
         for row in changed.rows.iter().filter(|row| row.key == TablePointer::KEY) {
             self.fetch_table(row).await?;
         }
--- a/crates/e2e/src/platform.rs
+++ b/crates/e2e/src/platform.rs
@@ -1,5 +1,6 @@
 use std::{net::SocketAddr, time::Duration};
 
+use platform::{Client, Condition, Row, Write};
 use serde_json::Value;
 
 const LOOK_AGAIN: Duration = Duration::from_millis(10);
@@ -8,12 +9,14 @@
 pub struct Platform {
     base: String,
     http: reqwest::Client,
+    client: Client,
 }
 
 impl Platform {
     /// The platform at `addr`.
     pub fn new(addr: SocketAddr) -> Platform {
-        Platform { base: format!("http://{addr}"), http: reqwest::Client::new() }
+        let (base, http) = (format!("http://{addr}"), reqwest::Client::new());
+        Platform { base, http, client: Client::new(addr) }
     }
 
     /// Sets faults: a JSON object with `down`, `slow_ms`, `lose_replies`.
@@ -24,8 +27,7 @@
 
     /// Value of a row.
     pub async fn row(&self, key: &str) -> Value {
-        let row: Value = self.get(&format!("rows/{key}")).await;
-        row["value"].clone()
+        self.stored(key).await.value
     }
 
     /// Number of reads and writes so far.
@@ -49,16 +51,15 @@
 
     /// Changes a row, whatever its version.
     pub async fn change(&self, key: &str, change: impl FnOnce(&mut Value)) {
-        let row: Value = self.get(&format!("rows/{key}")).await;
-        let mut value = row["value"].clone();
+        let Row { key, version, mut value } = self.stored(key).await;
         change(&mut value);
-        let body = serde_json::json!({
-            "conditions": [{ "key": key, "version": row["version"] }],
-            "writes": [{ "key": key, "value": value }],
-        });
-        let req = self.http.post(format!("{}/transactions", self.base)).json(&body);
-        let res = req.send().await.expect("the platform answers");
-        assert!(res.status().is_success(), "{}", res.status());
+        let conditions = [Condition { key: key.clone(), version }];
+        let writes = [Write { key, value }];
+        self.client.transact(&conditions, &writes).await.expect("the row has not changed");
+    }
+
+    async fn stored(&self, key: &str) -> Row {
+        self.client.row(key).await.expect("the platform answers").expect("the row exists")
     }
 
     async fn get(&self, path: &str) -> Value {
--- a/crates/platform/src/client.rs
+++ b/crates/platform/src/client.rs
@@ -1,6 +1,6 @@
 use std::{net::SocketAddr, time::Duration};
 
-use reqwest::StatusCode;
+use adapter::{CallError, Change, Key, Store};
 
 use crate::{
     error::PlatformError,
@@ -8,90 +8,76 @@
     vm::VmRecord,
 };
 
-const TIMEOUT: Duration = Duration::from_millis(1_500);
+/// Table of this project's rows.
+const TABLE: &str = "fleet";
+/// Table of the VM list, a row for each VM.
+const VM_TABLE: &str = "vms";
 
-/// Speaks to the platform.
+/// The records that the daemons keep in the platform's store.
 #[derive(Clone, Debug)]
 pub struct Client {
-    base: String,
-    http: reqwest::Client,
-}
-
-#[derive(serde::Serialize)]
-struct Transaction<'a> {
-    conditions: &'a [Condition],
-    writes: &'a [Write],
+    store: Store,
 }
 
 impl Client {
-    /// A client of the platform at `addr`.
+    /// A client of the store at `addr`.
     pub fn new(addr: SocketAddr) -> Client {
-        let http = reqwest::Client::builder().timeout(TIMEOUT).no_proxy().build();
-        let http = http.expect("a client without certificates can be built");
-        Client { base: format!("http://{addr}"), http }
+        Client { store: Store::new(addr) }
     }
 
     /// A row, `None` if it is absent.
     pub async fn row(&self, key: &str) -> Result<Option<Row>, PlatformError> {
-        let res = self.http.get(format!("{}/rows/{key}", self.base)).send().await?;
-        if res.status() == StatusCode::NOT_FOUND {
-            return Ok(None);
-        }
-        Ok(Some(checked(res)?.json().await?))
+        let row = self.store.row(Key { table: TABLE, key }).await?;
+        Ok(row.map(Row::try_from).transpose()?.filter(|row| row.version > 0))
     }
 
-    /// Rows under `prefix` that changed after revision `since`.
-    pub async fn rows(&self, prefix: &str, since: u64) -> Result<Rows, PlatformError> {
-        let url = format!("{}/rows?prefix={prefix}&since={since}", self.base);
-        let res = self.http.get(url).send().await?;
-        Ok(checked(res)?.json().await?)
+    /// Rows that changed after revision `since`.
+    pub async fn rows(&self, since: u64) -> Result<Rows, PlatformError> {
+        let changed = match since {
+            0 => self.store.rows(TABLE).await,
+            since => self.store.feed(TABLE, since, Duration::ZERO).await,
+        };
+        let changed = match changed {
+            Err(CallError::HistoryGone) => self.store.rows(TABLE).await?,
+            changed => changed?,
+        };
+        let rows = changed.rows.into_iter().map(Row::try_from).collect::<Result<_, _>>()?;
+        Ok(Rows { revision: changed.version, rows })
     }
 
-    /// Writes rows together if the conditions hold; the revision afterwards.
+    /// Writes rows together if the conditions hold; their version afterwards.
     pub async fn transact(
         &self,
         conditions: &[Condition],
         writes: &[Write],
     ) -> Result<u64, PlatformError> {
-        #[derive(serde::Deserialize)]
-        struct Committed {
-            revision: u64,
+        let mut change = Change::default();
+        for condition in conditions {
+            let place = Key { table: TABLE, key: &condition.key };
+            change = change.with_expected(place, condition.version);
         }
-        let url = format!("{}/transactions", self.base);
-        let res = self.http.post(url).json(&Transaction { conditions, writes }).send().await?;
-        if res.status() == StatusCode::CONFLICT {
-            return Err(PlatformError::Conflict { rows: res.json().await? });
+        for write in writes {
+            let place = Key { table: TABLE, key: &write.key };
+            change = change.with_row(place, &serde_json::to_vec(&write.value)?);
         }
-        let committed: Committed = checked(res)?.json().await?;
-        Ok(committed.revision)
+        Ok(self.store.apply(&change).await?)
     }
 
     /// Text of an object, `None` if it is absent.
     pub async fn object(&self, key: &str) -> Result<Option<String>, PlatformError> {
-        let res = self.http.get(format!("{}/objects/{key}", self.base)).send().await?;
-        if res.status() == StatusCode::NOT_FOUND {
-            return Ok(None);
-        }
-        Ok(Some(checked(res)?.text().await?))
+        let Some(bytes) = self.store.object(key).await? else { return Ok(None) };
+        let text = String::from_utf8(bytes);
+        text.map(Some).map_err(|error| PlatformError::Malformed { message: error.to_string() })
     }
 
     /// Writes an object.
     pub async fn put_object(&self, key: &str, body: &str) -> Result<(), PlatformError> {
-        let url = format!("{}/objects/{key}", self.base);
-        checked(self.http.put(url).body(body.to_owned()).send().await?)?;
-        Ok(())
+        Ok(self.store.put_object(key, body.as_bytes().to_vec()).await?)
     }
 
     /// The VM list, which may be out of date.
     pub async fn vms(&self) -> Result<Vec<VmRecord>, PlatformError> {
-        let res = self.http.get(format!("{}/vms", self.base)).send().await?;
-        Ok(checked(res)?.json().await?)
-    }
-}
-
-fn checked(res: reqwest::Response) -> Result<reqwest::Response, PlatformError> {
-    if res.status().is_success() {
-        return Ok(res);
+        let rows = self.store.rows(VM_TABLE).await?.rows;
+        rows.into_iter().map(|row| Row::try_from(row)?.record()).collect()
     }
-    Err(PlatformError::Unavailable { message: format!("status {}", res.status()) })
 }
--- a/crates/platform/src/error.rs
+++ b/crates/platform/src/error.rs
@@ -1,7 +1,6 @@
+use adapter::CallError;
 use snafu::Snafu;
 
-use crate::row::Row;
-
 /// Why the platform did not do what it was asked.
 #[derive(Debug, Snafu)]
 #[snafu(visibility(pub(crate)))]
@@ -14,11 +13,8 @@
     },
 
     /// The rows that a write relied on have changed. It has not happened.
-    #[snafu(display("{} rows have changed in the meantime", rows.len()))]
-    Conflict {
-        /// The rows as they are now.
-        rows: Vec<Row>,
-    },
+    #[snafu(display("rows have changed in the meantime"))]
+    Conflict,
 
     /// An answer that makes no sense.
     #[snafu(display("the platform's answer cannot be read: {message}"))]
@@ -28,12 +24,16 @@
     },
 }
 
-impl From<reqwest::Error> for PlatformError {
-    fn from(error: reqwest::Error) -> PlatformError {
-        if error.is_decode() {
-            return PlatformError::Malformed { message: error.to_string() };
+impl From<CallError> for PlatformError {
+    fn from(error: CallError) -> PlatformError {
+        let message = error.to_string();
+        match error {
+            CallError::Conflict => PlatformError::Conflict,
+            CallError::Undecodable { .. } => PlatformError::Malformed { message },
+            CallError::Unknown { .. } | CallError::Refused { .. } | CallError::HistoryGone => {
+                PlatformError::Unavailable { message }
+            }
         }
-        PlatformError::Unavailable { message: error.to_string() }
     }
 }
 
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -1,5 +1,5 @@
-//! Client of the platform's table service, object store and VM list, and the
-//! records that the daemons keep there. Knows nothing of what is decided.
+//! The records that the daemons keep in the platform's store, read and written through
+//! the one client of the store (`platform/`). Knows nothing of what is decided.
 
 mod client;
 mod error;
--- a/crates/platform/src/row.rs
+++ b/crates/platform/src/row.rs
@@ -9,7 +9,7 @@
 pub struct Row {
     /// Key of the row.
     pub key: String,
-    /// Number that grows with each write; 0 means that the row is absent.
+    /// Version of the store that wrote it; 0 means that the row is absent.
     pub version: u64,
     /// Its value.
     pub value: Value,
@@ -45,6 +45,16 @@
     pub value: Value,
 }
 
+impl TryFrom<adapter::Row> for Row {
+    type Error = PlatformError;
+
+    fn try_from(row: adapter::Row) -> Result<Row, PlatformError> {
+        let adapter::Row { key, value, version } = row;
+        let value = value.map(|bytes| serde_json::from_slice(&bytes)).transpose()?;
+        Ok(Row { key, version, value: value.unwrap_or_default() })
+    }
+}
+
 impl Row {
     /// The value as a record.
     pub fn record<T: DeserializeOwned>(&self) -> Result<T, PlatformError> {
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -5,7 +5,9 @@
 pub mod lines;
 pub mod member;
 pub mod platform;
+pub mod store;
 
+mod clock;
 mod deployment;
 mod running;
 
--- a/crates/standins/src/lines/control.rs
+++ b/crates/standins/src/lines/control.rs
@@ -11,7 +11,8 @@
 use base::Span;
 use serde_json::{Value, json};
 
-use super::platform::{Platform, now};
+use super::platform::Platform;
+use crate::clock::now;
 
 /// An order to this stand-in.
 #[derive(Clone, Debug)]
@@ -61,7 +62,7 @@
     match order {
         Steer::Configure(databases) => version = platform.configure(&databases),
         Steer::StoreDown(down) => platform.set_store_down(down),
-        Steer::LoseAnswers(count) => platform.shared.store.state().lost_answers = count,
+        Steer::LoseAnswers(count) => platform.shared.store.state().faults.lose_replies = count,
         Steer::Forget => {
             let mut state = platform.shared.store.state();
             state.rows.forgotten = state.rows.version;
--- a/crates/standins/src/lines/mod.rs
+++ b/crates/standins/src/lines/mod.rs
@@ -6,9 +6,7 @@
 mod control;
 mod group;
 mod platform;
-mod rows;
 mod session;
-mod store;
 
 pub use self::{
     commit::Commit,
--- a/crates/standins/src/lines/platform.rs
+++ b/crates/standins/src/lines/platform.rs
@@ -2,19 +2,19 @@
     collections::BTreeMap,
     io,
     net::{IpAddr, Ipv4Addr, SocketAddr},
-    sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError},
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
     thread,
-    time::Instant,
 };
 
-use base::{Span, Time};
+use base::Span;
 use serde_json::json;
 use tokio::{
     net::{TcpListener, TcpStream},
     sync::watch,
 };
 
-use super::{control, group::Group, session::Session, store::Store};
+use super::{control, group::Group, session::Session};
+use crate::{clock::now, store::Store};
 
 const LOOPBACK: IpAddr = IpAddr::V4(Ipv4Addr::LOCALHOST);
 const MEMBERS_TABLE: &str = "servers";
@@ -66,12 +66,6 @@
     born: u64,
 }
 
-/// Time since the first question.
-pub(crate) fn now() -> Time {
-    static START: OnceLock<Instant> = OnceLock::new();
-    Time::from_micros(START.get_or_init(Instant::now).elapsed().as_micros() as u64)
-}
-
 impl Platform {
     /// Starts the store and three members a group, on ports of their own.
     ///
@@ -142,7 +136,7 @@
 
     /// Whether every call to the store is answered with 503 from now on.
     pub fn set_store_down(&self, down: bool) {
-        self.shared.store.state().down = down;
+        self.shared.store.state().faults.down = down;
     }
 
     /// Number of rows of a table whose keys begin so.
--- a/crates/standins/src/lines/session.rs
+++ b/crates/standins/src/lines/session.rs
@@ -9,10 +9,8 @@
     net::{TcpStream, tcp},
 };
 
-use super::{
-    group::{Group, Refusal},
-    platform::now,
-};
+use super::group::{Group, Refusal};
+use crate::clock::now;
 
 /// Item whose value is what the session has set, so that a caller sees it.
 const VALUES: &str = "values";
--- /dev/null
+++ b/crates/standins/src/store/mod.rs
@@ -0,0 +1,17 @@
+//! The platform's store: rows under conditions, a feed of their changes, and objects,
+//! over HTTP, with outages, slowness, lost replies and lost history.
+//!
+//! | request | answer |
+//! | --- | --- |
+//! | `GET /rows-get`, `GET /rows-feed`, `POST /rows-tx` | as on the users' platform |
+//! | `GET /blob-get/ID`, `PUT /blob-put/ID` | as on the users' platform |
+//! | `GET`, `PUT /faults` | [`Faults`] |
+//! | `GET /counts` | [`Counts`] |
+
+mod counts;
+mod faults;
+mod rows;
+mod service;
+
+pub(crate) use self::service::Store;
+pub use self::{counts::Counts, faults::Faults};
--- a/crates/standins/src/lines/store.rs
+++ b/crates/standins/src/store/service.rs
@@ -6,23 +6,27 @@
 
 use axum::{
     Json, Router,
-    extract::{Query, State},
+    body::Bytes,
+    extract::{Path, Query, Request, State},
     http::StatusCode,
+    middleware::{self, Next},
     response::{IntoResponse, Response},
-    routing::{get, post},
+    routing::{get, post, put},
 };
 use base64::{Engine, engine::general_purpose::STANDARD};
 use serde_json::{Value, json};
 
 use super::{
-    platform::now,
+    counts::Counts,
+    faults::Faults,
     rows::{Place, Rows, Transaction},
 };
+use crate::clock::now;
 
 /// How often a feed looks for changes.
 const LOOK_EVERY: Duration = Duration::from_millis(5);
-/// How long a call hangs whose answer is lost.
-const LOST_FOR: Duration = Duration::from_secs(3);
+/// How long a call hangs whose answer is lost: longer than the client waits.
+const LOST_FOR: Duration = Duration::from_millis(1_200);
 
 /// The platform's store, in memory.
 #[derive(Clone, Debug, Default)]
@@ -30,14 +34,13 @@
     state: Arc<Mutex<StoreState>>,
 }
 
-/// Rows, and how the store misbehaves.
+/// What the store keeps, and how it misbehaves.
 #[derive(Debug, Default)]
 pub(crate) struct StoreState {
     pub(crate) rows: Rows,
-    /// Whether every call is answered with 503.
-    pub(crate) down: bool,
-    /// Writes yet to come that are done and not answered.
-    pub(crate) lost_answers: u32,
+    objects: BTreeMap<String, Bytes>,
+    pub(crate) faults: Faults,
+    counts: Counts,
 }
 
 impl Store {
@@ -59,16 +62,40 @@
         let _ = self.state().rows.apply(transaction);
     }
 
-    /// The calls that daemons make.
+    /// Writes an object as the operator does.
+    pub(crate) fn put_object(&self, id: &str, text: &str) {
+        self.state().objects.insert(id.to_owned(), Bytes::copy_from_slice(text.as_bytes()));
+    }
+
+    /// The calls that daemons and operators make, and those that steer this stand-in.
     pub(crate) fn router(self) -> Router {
-        Router::new()
+        let disturbed = Router::new()
             .route("/rows-get", get(rows_get))
             .route("/rows-feed", get(rows_feed))
             .route("/rows-tx", post(rows_tx))
+            .route("/blob-get/{id}", get(object))
+            .route("/blob-put/{id}", put(put_object))
+            .layer(middleware::from_fn_with_state(self.clone(), disturb));
+        Router::new()
+            .route("/faults", get(faults).put(put_faults))
+            .route("/counts", get(counts))
+            .merge(disturbed)
             .with_state(self)
     }
 }
 
+async fn disturb(State(store): State<Store>, req: Request, next: Next) -> Response {
+    let faults = store.state().faults;
+    if faults.slow_ms > 0 {
+        tokio::time::sleep(Duration::from_millis(faults.slow_ms)).await;
+    }
+    if faults.down {
+        store.state().counts.refused += 1;
+        return StatusCode::SERVICE_UNAVAILABLE.into_response();
+    }
+    next.run(req).await
+}
+
 fn row((key, value, version): (&str, Option<&str>, u64), table: &str) -> Value {
     json!({"table": table, "part": "", "key": key, "value": value, "ver": version,
         "tombstone": value.is_none()})
@@ -85,13 +112,15 @@
     State(store): State<Store>,
     Query(query): Query<BTreeMap<String, String>>,
 ) -> Response {
-    let state = store.state();
+    let mut state = store.state();
+    state.counts.reads += 1;
     let Some(table) = query.get("table") else { return StatusCode::BAD_REQUEST.into_response() };
-    if state.down {
-        return StatusCode::SERVICE_UNAVAILABLE.into_response();
-    }
-    let rows = state.rows.of(table).into_iter().map(|it| row(it, table));
-    page(rows.collect(), state.rows.version)
+    let within = |key: &str| {
+        let after = query.get("from").is_none_or(|from| key >= from.as_str());
+        after && query.get("target").is_none_or(|target| key < target.as_str())
+    };
+    let rows = state.rows.of(table).into_iter().filter(|(key, _, _)| within(key));
+    page(rows.map(|it| row(it, table)).collect(), state.rows.version)
 }
 
 async fn rows_feed(
@@ -104,11 +133,12 @@
     else {
         return StatusCode::BAD_REQUEST.into_response();
     };
+    store.state().counts.reads += 1;
     let mut waited = Duration::ZERO;
     loop {
         {
             let state = store.state();
-            if state.down {
+            if state.faults.down {
                 return StatusCode::SERVICE_UNAVAILABLE.into_response();
             }
             if after < state.rows.forgotten {
@@ -131,22 +161,49 @@
     };
     let lost = {
         let mut state = store.state();
-        if state.down {
-            return StatusCode::SERVICE_UNAVAILABLE.into_response();
-        }
+        state.counts.writes += 1;
         let Some(version) = state.rows.apply(transaction) else {
             return (StatusCode::PRECONDITION_FAILED, Json(json!({"rows": []}))).into_response();
         };
-        if state.lost_answers == 0 {
+        if state.faults.lose_replies == 0 {
             return page(Vec::new(), version);
         }
-        state.lost_answers -= 1;
+        state.faults.lose_replies -= 1;
         LOST_FOR
     };
     tokio::time::sleep(lost).await;
     StatusCode::GATEWAY_TIMEOUT.into_response()
 }
 
+async fn object(State(store): State<Store>, Path(id): Path<String>) -> Response {
+    let mut state = store.state();
+    state.counts.reads += 1;
+    match state.objects.get(&id) {
+        Some(bytes) => bytes.clone().into_response(),
+        None => StatusCode::NOT_FOUND.into_response(),
+    }
+}
+
+async fn put_object(State(store): State<Store>, Path(id): Path<String>, body: Bytes) -> StatusCode {
+    let mut state = store.state();
+    state.counts.writes += 1;
+    state.objects.insert(id, body);
+    StatusCode::OK
+}
+
+async fn faults(State(store): State<Store>) -> Json<Faults> {
+    Json(store.state().faults)
+}
+
+async fn put_faults(State(store): State<Store>, Json(faults): Json<Faults>) -> StatusCode {
+    store.state().faults = faults;
+    StatusCode::NO_CONTENT
+}
+
+async fn counts(State(store): State<Store>) -> Json<Counts> {
+    Json(store.state().counts)
+}
+
 fn transaction(body: &Value) -> Option<Transaction> {
     let place = |entry: &Value| -> Option<Place> {
         Some((entry["table"].as_str()?.to_owned(), entry["key"].as_str()?.to_owned()))
