--- a/crates/entry/src/data/mod.rs
+++ b/crates/entry/src/data/mod.rs
@@ -7,7 +7,10 @@
 mod names;
 mod relay;
 mod serve;
+mod single;
 mod session;
 mod task;
+mod transaction;
+mod turn;
 
 pub(crate) use self::task::{Setup, run};
