A busy session ends between two statements before its process does

At a planned stop a session ends when it has been quiet for 60 ms; this one never was (pauses under 30 ms), so it went on until the process ended, 5.6 s after SIGTERM, in the middle of a statement. Ruled out: the grace (the process ended by itself), the member (no line, and no other session). Now sessions end after their next answer in the last 1.2 s before that.

--- a/crates/entry/src/data/context.rs
+++ b/crates/entry/src/data/context.rs
@@ -38,6 +38,8 @@
     pub(crate) sessions_end: SharedFuture<oneshot::Receiver<()>>,
     /// Done when transactions should end too.
     pub(crate) all_end: SharedFuture<oneshot::Receiver<()>>,
+    /// Whether sessions end after their next answer, quiet or not.
+    pub(crate) last_answers: Cell<bool>,
     /// Whether this daemon carries sessions to members itself.
     pub(crate) carries: Cell<bool>,
     /// Carriers to choose from otherwise, by the address of their sessions.
@@ -76,6 +78,7 @@
             accepting_ends: accepting_ends.shared(),
             sessions_end: sessions_end.shared(),
             all_end: all_end.shared(),
+            last_answers: Cell::new(false),
             carries: Cell::new(false),
             choices: RefCell::default(),
             evacuate: Cell::new(false),
--- a/crates/entry/src/data/session.rs
+++ b/crates/entry/src/data/session.rs
@@ -156,7 +156,11 @@
             if let Some(msg) = taken.map_err(|error| WireError::protocol(error.to_string()))? {
                 return Ok(Some(msg));
             }
-            if matches!(self.tx, Transaction::None) {
+            let idle = matches!(self.tx, Transaction::None);
+            if idle && self.cx.last_answers.get() && self.conn.buffered() == 0 {
+                return Ok(None);
+            }
+            if idle {
                 let evacuated = pin!(evacuated(&self.cx));
                 let ended = future::select(self.cx.sessions_end.clone(), evacuated);
                 match future::select(pin!(self.conn.fill()), ended).await {
--- a/crates/entry/src/data/task.rs
+++ b/crates/entry/src/data/task.rs
@@ -24,6 +24,9 @@
 /// Between the last accepted session and the end of idle ones, so that the last ones
 /// can say what they want.
 const LAST_REQUESTS: Span = Span::from_millis(150);
+/// Time before the process ends from which busy sessions end after an answer: longer than
+/// any but the slowest statements take.
+const LAST_ANSWERS: Span = Span::from_millis(1_200);
 /// Time left before the process is killed by which it has ended.
 const END_MARGIN: Span = Span::from_millis(400);
 
@@ -104,6 +107,9 @@
     drop(ends.sessions);
     sleep_until(began + half).await;
     drop(ends.all);
+    let last_answers = Span::from_micros(last.as_micros().saturating_sub(LAST_ANSWERS.as_micros()));
+    sleep_until(began + last_answers.max(half)).await;
+    cx.last_answers.set(true);
     while cx.sessions.get() > 0 && clock::now() < began + last {
         time::sleep(TICK).await;
     }
--- a/crates/entry/tests/platform.rs
+++ b/crates/entry/tests/platform.rs
@@ -15,6 +15,10 @@
 const CONFIG_LIMIT: Duration = Duration::from_secs(3);
 /// Twice as long as an answer of the store lets a primary be used.
 const TWO_GRANTS: Duration = Duration::from_secs(3);
+/// Time between SIGTERM and SIGKILL in the settings of these tests, and what a statement
+/// that was taken in last may need of it.
+const GRACE: Duration = Duration::from_secs(6);
+const LAST_STATEMENT: Duration = Duration::from_secs(1);
 const PAUSE: Duration = Duration::from_millis(20);
 
 fn eventually(limit: Duration, what: &str, mut holds: impl FnMut() -> bool) {
@@ -192,3 +196,27 @@
     drop(session);
     assert!(daemon.wait());
 }
+
+/// Load pattern: a caller without pauses, so that no moment is quiet. Its session must
+/// end between two statements and early enough for the last one.
+#[test]
+fn a_busy_session_ends_between_two_statements_before_the_process_does() {
+    let world = world();
+    let mut daemon = Daemon::start("d1", "127.0.1.9", 0.25, world.addr);
+    daemon.wait_ready();
+    wait_for_writes(&daemon);
+    let mut session = client(&daemon, "orders");
+    daemon.terminate();
+    let stopped = Instant::now();
+    let mut number = 0;
+    loop {
+        number += 1;
+        match session.try_query(&format!("STORE n{number} x")) {
+            Some(reply) => assert!(reply.result.is_ok(), "{reply:?}"),
+            None => break,
+        }
+    }
+    assert!(stopped.elapsed() < GRACE - LAST_STATEMENT, "{:?}", stopped.elapsed());
+    assert_eq!(world.item(0, &format!("n{number}")), None, "taken in and cut");
+    assert!(daemon.wait());
+}
--- a/crates/entry/tests/support/client.rs
+++ b/crates/entry/tests/support/client.rs
@@ -36,12 +36,20 @@
 
     /// Runs a statement.
     pub fn query(&mut self, text: &str) -> Reply {
+        self.try_query(text).expect("an answer")
+    }
+
+    /// Runs a statement; `None` if the session ends without an answer.
+    pub fn try_query(&mut self, text: &str) -> Option<Reply> {
         self.next += 1;
         self.send(&format!("QUERY q{} {text}", self.next));
         let mut reply =
             Reply { rows: Vec::new(), result: Err(String::new()), state: String::new() };
         loop {
             let line = self.line();
+            if line.is_empty() {
+                return None;
+            }
             let (word, rest) = line.split_once(' ').unwrap_or((&line, ""));
             match word {
                 "ROW" => reply.rows.push(rest.to_owned()),
@@ -50,7 +58,7 @@
                 "READY" => {
                     reply.state =
                         rest.split(' ').next().expect("the set-up of the test works").to_owned();
-                    return reply;
+                    return Some(reply);
                 }
                 other => panic!("unexpected: {other:?}"),
             }
@@ -64,7 +72,8 @@
 
     fn line(&mut self) -> String {
         let mut line = String::new();
-        self.lines.read_line(&mut line).expect("the set-up of the test works");
+        // A connection that was reset has no more lines, as one that was closed.
+        let _ = self.lines.read_line(&mut line);
         line.trim_end().to_owned()
     }
 }
--- a/crates/soak/tests/seeds.rs
+++ b/crates/soak/tests/seeds.rs
@@ -9,6 +9,9 @@
 const PLANNED: u64 = 4;
 /// Faults of all kinds.
 const MIXED: u64 = 321;
+/// Planned work; in a run of 20 s a session that was never quiet went on until its process
+/// ended, and a request was cut.
+const BUSY_UNTIL_THE_END: u64 = 332;
 
 /// Where the programs of this workspace are, built as this test was.
 fn programs() -> PathBuf {
@@ -44,7 +47,7 @@
 #[test]
 fn promises_are_kept_in_a_short_run_of_these_seeds() {
     let programs = programs();
-    for seed in [PLANNED, MIXED] {
+    for seed in [PLANNED, MIXED, BUSY_UNTIL_THE_END] {
         check(seed, programs.clone());
     }
 }
