A late request says whether load or a lack of connections kept it

Test late_requests_without_a_connection_are_told_so_before_their_time_ runs_out, which fails with the one reason there was.

--- a/crates/pool/src/pool.rs
+++ b/crates/pool/src/pool.rs
@@ -18,6 +18,10 @@
 /// Refused connections in a row that show that nothing listens there.
 const REFUSALS_TO_COUNT: u32 = 2;
 
+/// Why requests past their target are refused before their time runs out.
+const LATE_IN_LOAD: &str = "it is late, and requests in time fill every slot";
+const LATE_UNCONNECTED: &str = "it is late, and no member accepts a connection";
+
 /// A request that asks for a connection.
 #[derive(Clone, Debug)]
 pub struct Request {
@@ -266,12 +270,11 @@
             self.needs.remove(&req);
             out.push(Action::Refuse { req, reason: "its time ran out while it waited" });
         }
+        let connected = self.members.iter().any(|member| member.open > member.opening);
+        let reason = if connected { LATE_IN_LOAD } else { LATE_UNCONNECTED };
         for req in self.scheduler.give_up_late(now) {
             self.needs.remove(&req);
-            out.push(Action::Refuse {
-                req,
-                reason: "it is late, and requests in time fill every slot",
-            });
+            out.push(Action::Refuse { req, reason });
         }
     }
 
--- a/crates/pool/src/tests.rs
+++ b/crates/pool/src/tests.rs
@@ -214,3 +214,25 @@
     bench.pool.note_position(&p, Position::new(1, 11), None);
     assert_eq!(bench.pool.covering(asked + Span::from_millis(1_600), age), None);
 }
+
+/// Load pattern: members are full after a power loss, and requests come in all the while.
+#[test]
+fn late_requests_without_a_connection_are_told_so_before_their_time_runs_out() {
+    let mut bench = Bench::new(Shares { kept: 1, most: 1, at_once: 1 });
+    let mut refused = Vec::new();
+    for req in 0..200 {
+        bench.now = bench.now + Span::from_millis(10);
+        bench.offer(req, Need::Primary, Rank::Lookup).expect("queued");
+        for action in bench.advance() {
+            match action {
+                Action::Open { member } => bench.pool.full(bench.now, &member),
+                Action::Refuse { req, reason } => refused.push((req, reason)),
+                Action::Start { .. } | Action::Close { .. } => {}
+            }
+        }
+    }
+    assert!(!refused.is_empty());
+    for (_, reason) in refused {
+        assert_eq!(reason, "it is late, and no member accepts a connection");
+    }
+}
