Golden sessions of the line protocol

Five sessions against the real daemon, word for word: single statements, a transaction kept, one that failed, a read-only one, values and prepared names.

--- a/crates/entry/tests/platform.rs
+++ b/crates/entry/tests/platform.rs
@@ -220,3 +220,37 @@
     assert_eq!(world.item(0, &format!("n{number}")), None, "taken in and cut");
     assert!(daemon.wait());
 }
+
+/// Golden sessions of the line protocol, word for word.
+#[test]
+fn sessions_read_as_agreed() {
+    let world = world();
+    let daemon = Daemon::start("d1", "127.0.1.10", 0.25, world.addr);
+    daemon.wait_ready();
+    wait_for_writes(&daemon);
+    let transcript = |database, statements: &[&str]| {
+        let mut session = client(&daemon, database);
+        for statement in statements {
+            session.query(statement);
+        }
+        // Any member may serve the reads of lookups.
+        session.transcript.replace("-m2.sig", "-m1.sig").replace("-m3.sig", "-m1.sig")
+    };
+    let single = ["STORE lot oak tree", "FETCH lot", "FETCH nothing", "NONSENSE", "FETCH"];
+    insta::assert_snapshot!("single", transcript("orders", &single));
+    let kept = ["BEGIN", "STORE lot elm", "FETCH lot", "COMMIT", "FETCH lot", "COMMIT"];
+    insta::assert_snapshot!("transaction", transcript("orders", &kept));
+    let dropped = ["BEGIN", "STORE lot ash", "BEGIN", "FETCH lot", "ROLLBACK", "FETCH lot"];
+    insta::assert_snapshot!("failed_transaction", transcript("orders", &dropped));
+    let read_only = ["BEGIN FETCH", "FETCH lot", "COMMIT"];
+    insta::assert_snapshot!("read_only_transaction", transcript("lookups", &read_only));
+    let names = [
+        "SET region south",
+        "PREPARE s1 FETCH shape",
+        "EXECUTE s1 lot",
+        "DEALLOC s1",
+        "EXECUTE s1 lot",
+        "DEALLOC s1",
+    ];
+    insta::assert_snapshot!("names", transcript("lookups", &names));
+}
--- a/crates/entry/tests/support/client.rs
+++ b/crates/entry/tests/support/client.rs
@@ -9,6 +9,8 @@
     stream: TcpStream,
     lines: BufReader<TcpStream>,
     next: u64,
+    /// What was said so far, `>` by the caller and `<` by the daemon.
+    pub transcript: String,
 }
 
 /// Answer to one statement.
@@ -28,7 +30,7 @@
             .set_read_timeout(Some(Duration::from_secs(20)))
             .expect("the set-up of the test works");
         let lines = BufReader::new(stream.try_clone().expect("the set-up of the test works"));
-        let mut client = Client { stream, lines, next: 0 };
+        let mut client = Client { stream, lines, next: 0, transcript: String::new() };
         client.send(&format!("STARTUP {database} test"));
         let line = client.line();
         if line.starts_with("READY I") { Ok(client) } else { Err(line) }
@@ -67,6 +69,7 @@
 
     fn send(&mut self, line: &str) {
         // A daemon that has closed the session is noticed when the answer is read.
+        self.transcript.push_str(&format!("> {line}\n"));
         let _ = self.stream.write_all(format!("{line}\r\n").as_bytes());
     }
 
@@ -74,6 +77,8 @@
         let mut line = String::new();
         // A connection that was reset has no more lines, as one that was closed.
         let _ = self.lines.read_line(&mut line);
-        line.trim_end().to_owned()
+        let line = line.trim_end().to_owned();
+        self.transcript.push_str(&format!("< {line}\n"));
+        line
     }
 }
