--- a/crates/cli/src/args.rs
+++ b/crates/cli/src/args.rs
@@ -59,6 +59,15 @@
         value.map_err(|error| ArgsError { message: format!("{option}: {error}") })
     }
 
+    /// Every further word, at least one.
+    pub fn words(&mut self, what: &str) -> Result<Vec<String>, ArgsError> {
+        let mut words = vec![self.word(what)?];
+        while let Some(word) = self.positional()? {
+            words.push(word);
+        }
+        Ok(words)
+    }
+
     /// The value of an option that must be present.
     pub fn required<T>(&mut self, option: &'static str) -> Result<T, ArgsError>
     where
--- a/crates/ctl/src/command.rs
+++ b/crates/ctl/src/command.rs
@@ -12,6 +12,7 @@
     fleet::Fleet,
     put::Put,
     tables::Tables,
+    trace::trace,
 };
 
 /// Text of `--help`.
@@ -29,6 +30,8 @@
   names                          list names and the groups they lead to
   status                         show VMs, homes, primaries and members
   explain NAME RANK              show what would be chosen now, and why
+  trace ID FILE...               show what logs of daemons (a file each) tell of a request,
+                                 and what each daemon believed then; needs no platform
 
 Options:
       --platform ADDR  address of the platform, as 127.0.0.1:7000
@@ -45,13 +48,19 @@
 /// A command with its arguments.
 #[derive(Debug)]
 pub struct Command {
-    platform: SocketAddr,
-    secret: String,
-    verb: Verb,
+    work: Work,
     /// Whether only the arguments are to be checked.
     pub check: bool,
 }
 
+#[derive(Debug)]
+enum Work {
+    /// Reads logs.
+    Trace { id: String, files: Vec<PathBuf> },
+    /// Asks the platform and the daemons that it lists.
+    Fleet { platform: SocketAddr, secret: String, verb: Verb },
+}
+
 #[derive(Debug)]
 enum Verb {
     Get { version: Option<u64> },
@@ -66,20 +75,38 @@
 impl Command {
     /// Reads the arguments.
     pub fn parse(mut args: Args) -> Result<Command, ArgsError> {
-        let platform = args.required("--platform")?;
+        let platform = args.option("--platform")?;
         let secret = args.option("--secret")?;
         let secret = secret.or_else(|| std::env::var("CORIANDERWHARF_SECRET").ok());
         let check = args.flag("--check");
-        let verb = Verb::parse(&mut args)?;
+        let word = args.word("a command")?;
+        if word == "trace" {
+            let id = args.word("an id")?;
+            let files = args.words("a file")?.into_iter().map(PathBuf::from).collect();
+            args.finish()?;
+            return Ok(Command { work: Work::Trace { id, files }, check });
+        }
+        let verb = Verb::parse(&word, &mut args)?;
         args.finish()?;
-        Ok(Command { platform, secret: secret.unwrap_or_default(), verb, check })
+        let platform = Args::needed("--platform", platform)?;
+        let secret = secret.unwrap_or_default();
+        Ok(Command { work: Work::Fleet { platform, secret, verb }, check })
     }
 
     /// Carries the command out; what to print.
     pub async fn run(&self) -> Result<String, CtlError> {
-        let client = Client::new(self.platform);
+        match &self.work {
+            Work::Trace { id, files } => trace(id, files),
+            Work::Fleet { platform, secret, verb } => verb.run(*platform, secret).await,
+        }
+    }
+}
+
+impl Verb {
+    async fn run(&self, platform: SocketAddr, secret: &str) -> Result<String, CtlError> {
+        let client = Client::new(platform);
         let tables = Tables::new(client.clone());
-        match &self.verb {
+        match self {
             Verb::Get { version } => Ok(tables.text(*version).await?.1),
             Verb::Check { file } => {
                 let table = read(file)?;
@@ -89,7 +116,7 @@
                 let put = Put::new(tables, *from, read(file)?).run().await?;
                 let merged = if put.merged { ", merged with other edits" } else { "" };
                 let mut text = format!("accepted as version {}{merged}\n", put.version);
-                let fleet = Fleet::new(&client, self.secret.clone()).await?;
+                let fleet = Fleet::new(&client, secret.to_owned()).await?;
                 for (vm, at) in fleet.wait_for_table(put.version, *wait).await {
                     text.push_str(&in_force(vm.id.as_str(), at, put.version));
                 }
@@ -109,7 +136,7 @@
                 Ok(names.iter().map(|(name, group)| format!("{name} {group}\n")).collect())
             }
             Verb::Status => {
-                let fleet = Fleet::new(&client, self.secret.clone()).await?;
+                let fleet = Fleet::new(&client, secret.to_owned()).await?;
                 let reports = fleet.reports().await;
                 Ok(reports
                     .iter()
@@ -117,17 +144,15 @@
                     .collect())
             }
             Verb::Explain { name, rank } => {
-                let fleet = Fleet::new(&client, self.secret.clone()).await?;
+                let fleet = Fleet::new(&client, secret.to_owned()).await?;
                 let explanation = fleet.explain(name, *rank).await?;
                 Ok(explanation.lines.iter().map(|line| format!("{line}\n")).collect())
             }
         }
     }
-}
 
-impl Verb {
-    fn parse(args: &mut Args) -> Result<Verb, ArgsError> {
-        match args.word("a command")?.as_str() {
+    fn parse(word: &str, args: &mut Args) -> Result<Verb, ArgsError> {
+        match word {
             "table" => Verb::parse_table(args),
             "names" => Ok(Verb::Names),
             "status" => Ok(Verb::Status),
--- a/crates/ctl/src/lib.rs
+++ b/crates/ctl/src/lib.rs
@@ -6,6 +6,7 @@
 mod fleet;
 mod put;
 mod tables;
+mod trace;
 
 pub use crate::{
     command::{Command, HELP},
