Let a crash of the stand-in's member take effect before the call returns

The stand-in's crash only sent a message to the tasks of the member's connections, so a statement that had arrived at the same moment was still run and acknowledged, and the test saw the old primary. Ruled out: the daemon; it wrote to the member that was still primary and had its answer. Change: a member is stopped under its group's lock before crash() returns; a stopped member refuses everything and its sessions end without an answer. A unit test of the group fails without it (the refusal did not exist).

--- a/crates/standins/src/lines/group.rs
+++ b/crates/standins/src/lines/group.rs
@@ -28,6 +28,8 @@
     ReadOnly,
     /// The member has not applied the required position yet.
     Lagging,
+    /// The member is stopped. Its connections end without an answer.
+    Stopped,
 }
 
 #[derive(Clone, Debug, Default)]
@@ -41,6 +43,8 @@
     is_primary: bool,
     /// When another member was promoted, while this one still acts as primary.
     replaced_at: Option<Time>,
+    /// Whether the member is stopped. It keeps its log.
+    stopped: bool,
 }
 
 impl Group {
@@ -58,6 +62,18 @@
         self.lag = lag;
     }
 
+    /// Sets whether a member is stopped. A stopped member refuses everything.
+    pub fn set_stopped(&mut self, id: &str, stopped: bool) {
+        if let Some(member) = self.members.get_mut(id) {
+            member.stopped = stopped;
+        }
+    }
+
+    /// Whether a member is stopped.
+    pub fn is_stopped(&self, id: &str) -> bool {
+        self.members[id].stopped
+    }
+
     /// Sets whether replaced primaries are cut off from the group: while they are, they do not
     /// learn of their successor and go on as primaries. Restarts their demotion delay.
     pub fn set_partitioned(&mut self, now: Time, partitioned: bool) {
@@ -112,6 +128,9 @@
 
     /// Checks that a member may run a statement that must see position `after`, or that writes.
     pub fn check(&self, id: &str, after: Option<Position>, writes: bool) -> Result<(), Refusal> {
+        if self.is_stopped(id) {
+            return Err(Refusal::Stopped);
+        }
         if writes && !self.is_primary(id) {
             return Err(Refusal::ReadOnly);
         }
--- a/crates/standins/src/lines/platform.rs
+++ b/crates/standins/src/lines/platform.rs
@@ -222,6 +222,11 @@
     }
 
     fn set_alive(&self, id: &str, alive: bool) {
+        // Stopped under the group's lock before this returns, so that no statement that arrives
+        // afterwards is run; the connections are closed a moment later.
+        for (_, group) in &self.groups {
+            lock(group).set_stopped(id, !alive);
+        }
         if let Some(member) = lock(&self.members).get_mut(id) {
             // The send fails only without a receiver: no connection has to be closed then.
             let _ = member.alive.send(alive);
--- a/crates/standins/src/lines/session.rs
+++ b/crates/standins/src/lines/session.rs
@@ -60,6 +60,9 @@
                 return;
             };
             let result = self.run(request, text);
+            if self.group().is_stopped(&self.id) {
+                return;
+            }
             let result = format!("{}{}", self.format(result), self.ready());
             send(&mut tx, &result).await;
         }
@@ -177,6 +180,8 @@
     match refusal {
         Refusal::ReadOnly => Code::ReadOnly,
         Refusal::Lagging => Code::Lagging,
+        // Never sent: the session of a stopped member ends without an answer.
+        Refusal::Stopped => Code::Busy,
     }
 }
 
--- a/crates/standins/src/lines/tests.rs
+++ b/crates/standins/src/lines/tests.rs
@@ -69,3 +69,15 @@
     write(&mut group, 20, "c", "lot").expect("the primary accepts writes");
     assert_eq!(group.received_position("a"), Position::new(2, 1));
 }
+
+#[test]
+fn a_stopped_member_runs_nothing_until_it_is_started_again() {
+    let mut group = group();
+    write(&mut group, 0, "a", "kept").expect("the primary accepts writes");
+    group.set_stopped("a", true);
+    assert_eq!(write(&mut group, 10, "a", "lot"), Err(Refusal::Stopped));
+    assert_eq!(group.check("a", None, false), Err(Refusal::Stopped));
+    assert_eq!(group.received_position("a"), Position::new(1, 1));
+    group.set_stopped("a", false);
+    write(&mut group, 20, "a", "lot").expect("the primary accepts writes again");
+}
