Run statements of open transactions at once, even if every slot is taken

Traced by the daemons' log of a failed run: three forwarded writes that wait for the lock of the test's open transaction held all three slots of the stopping home, and the transaction's COMMIT waited for a slot: a deadlock that only the limit of the stop (30 s) ended, by cutting all four sessions. Log: 'stopping', callers 7, then 'drained', cut 4, 30 s later, and the primary suspected each second meanwhile. Change: the home runs a pinned statement at once and counts it as in flight, so that new requests wait for it and not the other way round. Its number is bounded by the connections of a member.

--- a/crates/daemon/src/session/held.rs
+++ b/crates/daemon/src/session/held.rs
@@ -78,8 +78,9 @@
         }
     }
 
-    /// Asks the group's home for a slot at `member`, to which the held connection
-    /// leads; `None` if the home's task has ended or the caller is gone.
+    /// Announces the statement to the group's home, which counts it as in flight at `member`,
+    /// to which the held connection leads; `None` if the home's task has ended or the caller is
+    /// gone.
     pub(crate) async fn submit_pinned(
         &mut self,
         group: &GroupHandle,
--- a/crates/daemon/src/session/run.rs
+++ b/crates/daemon/src/session/run.rs
@@ -275,7 +275,7 @@
         let message = "only daemons of this deployment may connect here".to_owned();
         return Err((sqlstate::INVALID_AUTHORIZATION, message));
     }
-    if cx.stopping.peek().is_some() {
+    if cx.stopping.clone().now_or_never().is_some() {
         let message = "this daemon is stopping; connect again".to_owned();
         return Err((sqlstate::ADMIN_SHUTDOWN, message));
     }
--- a/crates/home/src/action.rs
+++ b/crates/home/src/action.rs
@@ -7,7 +7,7 @@
 pub enum Action {
     /// Run a request at a member.
     Dispatch(Dispatch),
-    /// Run a pinned statement, which now has a slot, on the connection that its session holds.
+    /// Run a pinned statement on the connection that its session holds.
     RunPinned {
         /// Number of the request.
         req: RequestId,
--- a/crates/home/src/event.rs
+++ b/crates/home/src/event.rs
@@ -10,7 +10,7 @@
 pub enum Event {
     /// A request needs a member to run on.
     Submitted(Submission),
-    /// A statement needs a slot at the member to which its session holds a connection.
+    /// A statement is to run at the member to which its session holds a connection.
     Pinned(PinnedStatement),
     /// A dispatched request has ended.
     Finished(Finished),
--- a/crates/home/src/home.rs
+++ b/crates/home/src/home.rs
@@ -84,7 +84,7 @@
         self.coverage = self.coverage.at(now);
         match event {
             Event::Submitted(submission) => self.submit(now, submission, out),
-            Event::Pinned(statement) => self.submit_pinned(statement),
+            Event::Pinned(statement) => self.run_pinned(statement, out),
             Event::Finished(finished) => self.finish(now, &finished),
             Event::Released { member, connection } => self.release(&member, connection),
             Event::Warmed { member, open } => self.warmed(now, &member, open),
@@ -179,10 +179,15 @@
         }
     }
 
-    fn submit_pinned(&mut self, statement: PinnedStatement) {
+    /// Runs a pinned statement at once, even if every slot is taken: requests that hold the slots
+    /// may wait for locks of the statement's transaction. The statement counts as in flight, so
+    /// new requests wait until it has ended.
+    fn run_pinned(&mut self, statement: PinnedStatement, out: &mut Vec<Action>) {
         let Some(member) = self.members.index(&statement.member) else { return };
-        let state = RequestState::PinnedQueued { key: statement.key, member };
-        self.requests.insert(statement.req, state);
+        self.members.get_mut(member).in_flight += 1;
+        let PinnedStatement { req, key, member: id } = statement;
+        self.requests.insert(req, RequestState::Running { key, member, scheduled: false });
+        out.push(Action::RunPinned { req, member: id });
     }
 
     fn finish(&mut self, now: Time, finished: &Finished) {
@@ -391,7 +396,6 @@
         self.resolve_awaiting(now, out);
         let leadership = (self.members.term(), self.members.primary());
         self.pending_commits.resolve(now, leadership, &self.probes, out);
-        self.run_pinned(out);
         self.run_queued(now, out);
         self.open_warm_connections(now, out);
         if !self.pending_commits.is_empty() || self.requests.any_awaiting_position() {
@@ -428,21 +432,6 @@
         }
     }
 
-    fn run_pinned(&mut self, out: &mut Vec<Action>) {
-        for (req, member) in self.requests.pinned() {
-            if self.members.get(member).free_slots() == 0 {
-                continue;
-            }
-            let Some(RequestState::PinnedQueued { key, member }) = self.requests.remove(req) else {
-                continue;
-            };
-            self.members.get_mut(member).in_flight += 1;
-            let id = self.members.get(member).id.clone();
-            self.requests.insert(req, RequestState::Running { key, member, scheduled: false });
-            out.push(Action::RunPinned { req, member: id });
-        }
-    }
-
     fn run_queued(&mut self, now: Time, out: &mut Vec<Action>) {
         if self.scheduler.waiting() == 0 {
             return;
--- a/crates/home/src/requests.rs
+++ b/crates/home/src/requests.rs
@@ -24,13 +24,6 @@
         /// Log position that it must observe at least.
         required: Position,
     },
-    /// Waits for a slot at the member to which its session holds a connection.
-    PinnedQueued {
-        /// Name and rank.
-        key: RowKey,
-        /// Index of the member.
-        member: usize,
-    },
     /// Holds a slot.
     Running {
         /// Name and rank.
@@ -99,14 +92,6 @@
         self.states.values().any(|state| matches!(state, RequestState::AwaitingPosition { .. }))
     }
 
-    /// Pinned statements that wait for a slot, with the indices of their members, oldest
-    /// first.
-    pub(crate) fn pinned(&self) -> Vec<(RequestId, usize)> {
-        let mut pinned: Vec<_> = self.states.iter().filter_map(pinned_member).collect();
-        pinned.sort_unstable();
-        pinned
-    }
-
     fn take_submission(&mut self, req: RequestId) -> Option<Submission> {
         match self.states.remove(&req)? {
             RequestState::AwaitingPosition { submission, .. } => Some(submission),
@@ -114,10 +99,3 @@
         }
     }
 }
-
-fn pinned_member((req, state): (&RequestId, &RequestState)) -> Option<(RequestId, usize)> {
-    match state {
-        RequestState::PinnedQueued { member, .. } => Some((*req, *member)),
-        _ => None,
-    }
-}
