Close a downed stand-in member's connections before the call returns

Cause: the_change_of_primary_waits_for_the_platform_and_then_happens failed in 3 of 60 runs, each with 'the write at 1/4 could not be proven'. The stand-in set the fault down and answered, while sessions that had a request already ran it: the write was committed by a primary that was down (position 1/4 is the test's write), so 08007 was the right answer to it. Ruled out: the daemon's retry; the statement had run. Change: a session ends when it finds its member down after reading a request, a commit on a member that is down is rolled back and not answered, and the call that sets the fault answers when the callers' connections are closed.

--- a/crates/standins/src/member/session.rs
+++ b/crates/standins/src/member/session.rs
@@ -103,10 +103,14 @@
                 return Ok(());
             }
             self.wait_while_paused().await;
+            if self.is_down() {
+                return Ok(());
+            }
             self.message(frame).await?;
-            if self.close_unanswered {
+            if self.close_unanswered || self.is_down() {
                 return Ok(());
             }
+            self.wait_until_closed_if_down().await;
             if self.conn.queued() > 0 && self.conn.buffered() == 0 {
                 self.conn.flush().await?;
             }
@@ -423,6 +427,23 @@
         Ok(())
     }
 
+    /// Whether the fault `down` ends this session.
+    pub(crate) fn is_down(&self) -> bool {
+        !self.ignores_faults && self.group.node(self.index).borrow().faults.down
+    }
+
+    /// In a session that sets faults: waits until the fault `down` has closed the callers'
+    /// connections, so that a request sent after the fault was set finds none of them open.
+    async fn wait_until_closed_if_down(&self) {
+        let closing = || {
+            let node = self.group.node(self.index).borrow();
+            node.faults.down && node.connections > 0
+        };
+        while self.ignores_faults && closing() {
+            monoio::time::sleep(POLL_INTERVAL).await;
+        }
+    }
+
     async fn wait_while_paused(&self) {
         while !self.ignores_faults && self.group.node(self.index).borrow().faults.paused {
             monoio::time::sleep(POLL_INTERVAL).await;
--- a/crates/standins/src/member/session_transaction.rs
+++ b/crates/standins/src/member/session_transaction.rs
@@ -55,6 +55,11 @@
             self.rollback();
             return Ok(false);
         }
+        if self.is_down() {
+            self.rollback();
+            self.close_unanswered = true;
+            return Ok(false);
+        }
         if let Err(error) = self.check_commit() {
             self.rollback();
             return Err(error);
