Soak: probe all daemons concurrently, and keep the stand-in's cost constant

Two faults, both ours: - The check probed daemon after daemon and looked at its limit only after a failed probe, so the durations of good probes added up beyond the limit. It now probes all concurrently, each probe with a time limit of its own, and says for each daemon and group what the last answer was. - Group::advance of the stand-in copied the whole log for each statement, on the one thread that also serves the store. With some 9,000 commits each statement took so long that members and store missed their callers' limits: 'the member did not answer in time' on every carrier, 2 to 23 requests waiting each. It now copies only when a replaced primary is demoted. Ruled out: a configuration that was not applied (at the end all daemons answered as the newest says); carriers of one zone (the unserved daemons were of one zone because its carriers had the longer queues). Also: with more than 64 daemons the fault Freeze shifted a mask too far.

--- a/crates/soak/src/fault.rs
+++ b/crates/soak/src/fault.rs
@@ -118,8 +118,13 @@
         // At most two daemons, so that the others can replace the primary.
         26..29 => {
             let other = rng.random_range(0..options.daemons);
-            Fault::Freeze(rng.random_range(0..options.groups), 1 << daemon | 1 << other)
+            Fault::Freeze(rng.random_range(0..options.groups), bit(daemon) | bit(other))
         }
         _ => Fault::Lag(rng.random_range(100..3_000)),
     }
 }
+
+/// Bit mask of one daemon; empty for those beyond the first 64, which masks do not cover.
+fn bit(daemon: usize) -> u64 {
+    1u64.checked_shl(daemon as u32).unwrap_or(0)
+}
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -1,11 +1,13 @@
 use std::{
     cell::RefCell,
+    collections::BTreeMap,
     io,
     net::SocketAddr,
     rc::Rc,
     time::{Duration, Instant},
 };
 
+use futures_util::future;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 use snafu::Snafu;
@@ -30,6 +32,8 @@
 /// as interrupted: the daemon may not have read it. The users' requirements allow this time.
 const INTERRUPTION_TOLERANCE: Duration = Duration::from_millis(200);
 const POLL_INTERVAL: Duration = Duration::from_millis(20);
+/// Time limit of a probe, after which it is repeated. Callers wait about as long.
+const PROBE_TIMEOUT: Duration = Duration::from_secs(2);
 
 /// Results of a run.
 #[derive(Debug)]
@@ -198,23 +202,45 @@
     limit: Duration,
 ) -> Result<Option<Duration>, SoakError> {
     let started = Instant::now();
-    for addr in addrs {
-        for group in 0..groups {
-            while !serves(*addr, group).await {
-                if started.elapsed() >= limit {
-                    return Ok(None);
-                }
-                restart_daemons(deployment, history)?;
+    // All are probed concurrently: the duration of probes must not add up over the daemons.
+    let unserved = RefCell::new(BTreeMap::new());
+    let places = (0..addrs.len()).flat_map(|daemon| (0..groups).map(move |group| (daemon, group)));
+    let probes = future::join_all(places.map(|(daemon, group)| {
+        let unserved = &unserved;
+        async move {
+            while let Err(answer) = probe(addrs[daemon], group).await {
+                unserved.borrow_mut().insert((daemon, group), answer);
                 time::sleep(POLL_INTERVAL).await;
             }
+            unserved.borrow_mut().remove(&(daemon, group));
+        }
+    }));
+    let probes = time::timeout(limit, probes);
+    tokio::pin!(probes);
+    loop {
+        tokio::select! {
+            served = &mut probes => {
+                for ((daemon, group), answer) in unserved.take() {
+                    eprintln!("daemon {daemon}, group {group}: last answer {answer}");
+                }
+                return Ok(served.is_ok().then(|| started.elapsed()));
+            }
+            () = time::sleep(POLL_INTERVAL) => restart_daemons(deployment, history)?,
         }
     }
-    Ok(Some(started.elapsed()))
 }
 
-async fn serves(addr: SocketAddr, group: usize) -> bool {
-    let Ok(mut conn) = LineConn::open(addr, &format!("orders{group}")).await else { return false };
-    matches!(conn.query("probe", "FETCH probe").await, Reply::Success(_))
+/// Runs a current read of a group at a daemon. The error describes the answer.
+async fn probe(addr: SocketAddr, group: usize) -> Result<(), String> {
+    let probe = async {
+        let conn = LineConn::open(addr, &format!("orders{group}")).await;
+        let mut conn = conn.map_err(|line| format!("to STARTUP: {line:?}"))?;
+        match conn.query("probe", "FETCH probe").await {
+            Reply::Success(_) => Ok(()),
+            reply => Err(format!("to FETCH: {reply:?}")),
+        }
+    };
+    time::timeout(PROBE_TIMEOUT, probe).await.unwrap_or_else(|_| Err("none in time".to_owned()))
 }
 
 /// Checks that every daemon has applied the newest configuration.
--- a/crates/standins/src/lines/group.rs
+++ b/crates/standins/src/lines/group.rs
@@ -201,17 +201,19 @@
     /// Advances the model to `now`: replicas apply the commits whose lag has passed, and replaced
     /// primaries are demoted after their delay.
     pub fn advance(&mut self, now: Time) {
-        let (log, newest) = (self.commits().to_vec(), self.term);
         let (lag, partitioned) = (self.lag, self.partitioned);
-        for member in self.members.values_mut() {
-            let is_due = |at: Time| !partitioned && now.since(at) >= DEMOTION_DELAY;
-            if member.replaced_at.is_some_and(is_due) {
+        let is_due = |at: Time| !partitioned && now.since(at) >= DEMOTION_DELAY;
+        if self.members.values().any(|member| member.replaced_at.is_some_and(is_due)) {
+            // Copied only here: a log grows for as long as the stand-in runs.
+            let (log, newest) = (self.commits().to_vec(), self.term);
+            let due = self.members.values_mut();
+            for member in due.filter(|member| member.replaced_at.is_some_and(is_due)) {
                 (member.is_primary, member.replaced_at) = (false, None);
                 self.lost.extend(member.follow(newest, &log));
             }
-            if !member.is_primary {
-                member.apply_until(|commit| commit.committed_at + lag <= now);
-            }
+        }
+        for member in self.members.values_mut().filter(|member| !member.is_primary) {
+            member.apply_until(|commit| commit.committed_at + lag <= now);
         }
     }
 }
