--- a/crates/entry/tests/support/daemon.rs
+++ b/crates/entry/tests/support/daemon.rs
@@ -25,8 +25,8 @@
     /// Starts a daemon. `ip` must be in the loopback range and not used by another daemon.
     pub fn start(name: &str, ip: &str, cores: f64, platform: SocketAddr) -> Daemon {
         let ip: IpAddr = ip.parse().expect("test setup failed");
-        let (callers, readiness) = (free_tcp_addr(ip), free_tcp_addr(ip));
-        let peer_port = free_udp_addr(ip).port();
+        let [callers, readiness, peers] = free_addrs(ip);
+        let peer_port = peers.port();
         let text = format!(
             "node_name = \"{name}\"\nzone = \"a\"\nport_range = [{peer_port}, {peer_port}]\n\
              heartbeat_ms = 1200\n[zones]\na = \"r\"\n[listen]\nfrontend = \"{callers}\"\n\
@@ -98,10 +98,11 @@
     Some(answer)
 }
 
-fn free_tcp_addr(ip: IpAddr) -> SocketAddr {
-    TcpListener::bind((ip, 0)).expect("test setup failed").local_addr().expect("test setup failed")
-}
-
-fn free_udp_addr(ip: IpAddr) -> SocketAddr {
-    UdpSocket::bind((ip, 0)).expect("test setup failed").local_addr().expect("test setup failed")
+/// Returns three different addresses whose ports are free. All are bound before the first is
+/// closed, so that no port is handed out twice. The last port is free over UDP as well.
+fn free_addrs(ip: IpAddr) -> [SocketAddr; 3] {
+    let listeners = [0; 3].map(|port| TcpListener::bind((ip, port)).expect("test setup failed"));
+    let addrs = listeners.map(|listener| listener.local_addr().expect("test setup failed"));
+    drop(UdpSocket::bind(addrs[2]).expect("test setup failed"));
+    addrs
 }
--- a/crates/soak/src/deployment.rs
+++ b/crates/soak/src/deployment.rs
@@ -258,9 +258,13 @@
         // Each daemon has an IP address of its own, because all use the same metrics port.
         let [high, low] = ((std::process::id() % 16_000) as u16).to_be_bytes();
         let ip = IpAddr::V4(Ipv4Addr::new(127, 64 + high, low, index as u8 + 1));
-        let callers = TcpListener::bind((ip, 0))?.local_addr()?;
-        let readiness = TcpListener::bind((ip, 0))?.local_addr()?;
-        let peer_port = UdpSocket::bind((ip, 0))?.local_addr()?.port();
+        // All are bound before the first is closed, so that no port is handed out twice. The peer
+        // port is used over TCP and UDP.
+        let [callers, readiness, peers] = [0; 3].map(|port| TcpListener::bind((ip, port)));
+        let (callers, readiness, peers) = (callers?, readiness?, peers?);
+        let peer_port = peers.local_addr()?.port();
+        drop(UdpSocket::bind((ip, peer_port))?);
+        let (callers, readiness) = (callers.local_addr()?, readiness.local_addr()?);
         let platform_link = FaultProxy::start(platform).await?;
         let name = format!("d{index}");
         let text = format!(
