Relays follow no table of the store and learn of carriers from carriers; repeat the first read

Causes, from logs of all processes: 1. Each of some 283 daemons that are no carriers followed the state table, at the start all three tables: 9 to 11 calls each before traffic, one for each row that members and carriers write. 2. By reading: a statement at a carrier ended as soon as the carrier left the list for new sessions, also when it had only been replaced there by one of the own zone, or one session had failed.

Change: succession::FollowedTables decides which tables are followed, with the fleet's start, a power loss and a silent zone as its tests. Relays ask the carriers of their zone, all others only while that zone is in doubt, and fetch the carriers' rows or the configuration from one of them. A carrier slot is claimed only with a clock and rows just read from the store. The first read is repeated each 150 to 250 ms on a new connection. Heartbeats say whether a carrier accepts sessions (may use primaries, is not stopping); statements in flight wait as long as a carrier answers. Two requests of a followed table are 60 ms apart. The row sync server survives a failed accept.

--- a/crates/entry/src/control/coordination.rs
+++ b/crates/entry/src/control/coordination.rs
@@ -14,6 +14,8 @@
 pub(crate) struct CoordinationState {
     /// Version of the newest row; 0 before any row has been read.
     pub(crate) version: u64,
+    /// Version of the newest row of a carrier slot; 0 if there is none.
+    pub(crate) carriers_version: u64,
     /// Whether all rows have been read at least once.
     pub(crate) loaded: bool,
     /// The failover lease, the duty to make failover calls, and the version of its row.
@@ -74,6 +76,11 @@
         }
     }
 
+    /// Whether a carrier is listed in an availability zone.
+    pub(crate) fn has_carrier_in(&self, zone: &str) -> bool {
+        self.carriers.values().any(|(record, _)| record.zone == zone)
+    }
+
     /// Number of VMs whose daemon is a carrier. A daemon with two carrier slots counts once.
     pub(crate) fn carrier_count(&self) -> u32 {
         let mut vms: Vec<_> = self.carriers.values().map(|(record, _)| &record.vm).collect();
@@ -101,6 +108,7 @@
             put(&mut self.primary_records, group, decode(&row.key, value), version);
             changed.push(StateChange::Primary(group.to_owned()));
         } else if let Some(place) = row.key.strip_prefix(CARRIER_KEY_PREFIX) {
+            self.carriers_version = self.carriers_version.max(version);
             let record: Option<CarrierRecord> = decode(&row.key, value);
             let (gone, present) = match record {
                 Some(record) if record.gone => (Some(record), None),
--- a/crates/entry/src/control/event.rs
+++ b/crates/entry/src/control/event.rs
@@ -21,8 +21,8 @@
         complete: bool,
         asked_at: Time,
     },
-    /// Another daemon requests all cached rows.
-    RowsRequested(oneshot::Sender<Vec<TableSnapshot>>),
+    /// Another daemon requests the cached rows of a table, or of all tables.
+    RowsRequested { table: Option<String>, tx: oneshot::Sender<Vec<TableSnapshot>> },
     /// Another daemon has returned its cached rows.
     PeerRows(Vec<TableSnapshot>),
     /// A read from the store has failed.
--- a/crates/entry/src/control/heartbeat.rs
+++ b/crates/entry/src/control/heartbeat.rs
@@ -12,6 +12,10 @@
     /// Whether the sender is a carrier. Other daemons send heartbeats only to find out
     /// which carriers are alive.
     pub(crate) carries: bool,
+    /// Whether the sender may use primaries and is not stopping. Other daemons relay new sessions
+    /// only to carriers of which this holds.
+    #[serde(default = "accepts_by_default")]
+    pub(crate) accepts_sessions: bool,
     /// Whether the store has answered the sender recently, without which it cannot replace
     /// a primary.
     pub(crate) acts: bool,
@@ -26,6 +30,15 @@
     /// Versions of the newest rows that the sender knows in the operator's table, the
     /// members' table and the state table.
     pub(crate) newest: [u64; 3],
+    /// Version of the newest row of a carrier slot that the sender knows. A daemon that is no
+    /// carrier fetches the rows from the sender if it knows only older ones.
+    #[serde(default)]
+    pub(crate) carriers_version: u64,
     /// Health of primaries as the sender observes it: group, member, health.
     pub(crate) opinions: Vec<(String, String, PrimaryHealth)>,
 }
+
+/// Daemons of versions that do not send this accept sessions.
+fn accepts_by_default() -> bool {
+    true
+}
--- a/crates/entry/src/control/mod.rs
+++ b/crates/entry/src/control/mod.rs
@@ -11,6 +11,7 @@
 mod coordination;
 mod coordinator;
 mod event;
+mod feeds;
 mod heartbeat;
 mod http;
 mod member_calls;
@@ -19,6 +20,5 @@
 mod row_sync;
 mod tables;
 mod task;
-mod watch;
 
 pub(crate) use self::{event::Event, task::run};
--- a/crates/entry/src/control/row_sync.rs
+++ b/crates/entry/src/control/row_sync.rs
@@ -17,14 +17,16 @@
 
 /// Timeout of a call, including the connection. A snapshot of all rows is about 100 kB.
 const CALL_TIMEOUT: Duration = Duration::from_millis(1_000);
+/// Delay after a failed accept, for example when file descriptors are exhausted.
+const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
 /// Maximum size of a message, enough for a configuration with thousands of routes.
 const MAX_MESSAGE_BYTES: usize = 4 * 1024 * 1024;
 
 /// RPC interface between carriers.
 #[tarpc::service]
 trait RowSync {
-    /// Returns the store's rows as the called carrier has cached them.
-    async fn rows() -> Vec<TableSnapshot>;
+    /// Returns the store's rows as the called carrier has cached them, of one table or of all.
+    async fn rows(table: Option<String>) -> Vec<TableSnapshot>;
 }
 
 #[derive(Clone, Debug)]
@@ -33,22 +35,27 @@
 }
 
 impl RowSync for Server {
-    async fn rows(self, _: context::Context) -> Vec<TableSnapshot> {
+    async fn rows(self, _: context::Context, table: Option<String>) -> Vec<TableSnapshot> {
         let (tx, rx) = oneshot::channel();
         // Both fail only during shutdown, when an empty answer is correct.
-        let _ = self.events.unbounded_send(Event::RowsRequested(tx));
+        let _ = self.events.unbounded_send(Event::RowsRequested { table, tx });
         rx.await.unwrap_or_default()
     }
 }
 
 /// Serves the other carriers' calls until the process ends.
-pub(crate) async fn serve(
-    listener: TcpListener,
-    events: mpsc::UnboundedSender<Event>,
-) -> io::Result<()> {
+pub(crate) async fn serve(listener: TcpListener, events: mpsc::UnboundedSender<Event>) {
     loop {
-        let (stream, _) = listener.accept().await?;
-        let channel = BaseChannel::with_defaults(transport(stream)?);
+        let accepted = listener.accept().await;
+        let transport = match accepted.and_then(|(stream, _)| transport(stream)) {
+            Ok(transport) => transport,
+            Err(error) => {
+                logs::warn(&format!("row sync: a connection could not be accepted: {error}"));
+                time::sleep(ACCEPT_RETRY_DELAY).await;
+                continue;
+            }
+        };
+        let channel = BaseChannel::with_defaults(transport);
         let requests = channel.execute(Server { events: events.clone() }.serve());
         tokio::spawn(requests.for_each(|response| async {
             tokio::spawn(response);
@@ -56,13 +63,14 @@
     }
 }
 
-/// Fetches a carrier's cached rows; `None` if the call fails or exceeds its timeout.
-pub(crate) async fn rows(addr: SocketAddr) -> Option<Vec<TableSnapshot>> {
+/// Fetches a carrier's cached rows, of one table or of all; `None` if the call fails or exceeds
+/// its timeout.
+pub(crate) async fn rows(addr: SocketAddr, table: Option<&str>) -> Option<Vec<TableSnapshot>> {
     let call = async {
         let stream = TcpStream::connect(addr).await.ok()?;
         let transport = transport(stream).ok()?;
         let client = RowSyncClient::new(client::Config::default(), transport).spawn();
-        client.rows(context::current()).await.ok()
+        client.rows(context::current(), table.map(str::to_owned)).await.ok()
     };
     time::timeout(CALL_TIMEOUT, call).await.ok().flatten()
 }
--- a/crates/entry/src/control/tables.rs
+++ b/crates/entry/src/control/tables.rs
@@ -63,8 +63,8 @@
         self.tables.get(table).map_or(0, |table| table.newest)
     }
 
-    /// Snapshots of all tables, for another daemon.
-    pub(crate) fn snapshots(&self) -> Vec<TableSnapshot> {
+    /// Snapshots of one table or of all, for another daemon.
+    pub(crate) fn snapshots(&self, wanted: Option<&str>) -> Vec<TableSnapshot> {
         let snapshot = |(name, table): (&&'static str, &CachedTable)| TableSnapshot {
             table: (*name).to_owned(),
             as_of: table.as_of,
@@ -74,7 +74,8 @@
                 .filter_map(|row| Some((row.key.clone(), row.value.clone()?, row.version)))
                 .collect(),
         };
-        self.tables.iter().map(snapshot).collect()
+        let tables = self.tables.iter();
+        tables.filter(|(name, _)| wanted.is_none_or(|it| it == **name)).map(snapshot).collect()
     }
 }
 
--- a/crates/entry/src/control/task.rs
+++ b/crates/entry/src/control/task.rs
@@ -7,8 +7,11 @@
 use base::{FastMap, MemberId, Span, Time};
 use futures_channel::mpsc;
 use futures_util::StreamExt;
-use succession::{Candidate, CarrierDirectory, PrimaryGrant, PrimaryHealth};
-use tokio::net::{TcpListener, UdpSocket};
+use succession::{Candidate, CarrierDirectory, FollowedTables, PrimaryGrant, PrimaryHealth};
+use tokio::{
+    net::{TcpListener, UdpSocket},
+    sync::watch,
+};
 
 use crate::{
     clock,
@@ -16,14 +19,13 @@
         coordination::{CoordinationState, STATE_TABLE},
         coordinator::{FailoverCoordinator, GroupView, MemberCandidate},
         event::Event,
-        http,
+        feeds, http,
         peers::Peers,
         pending_orders::PendingOrders,
         row_sync,
         tables::TableCache,
-        watch,
     },
-    messages::{Order, Report},
+    messages::{CarrierChoice, Order, Report},
     shared::Shared,
 };
 
@@ -53,6 +55,8 @@
     events: mpsc::UnboundedSender<Event>,
     store: StoreClient,
     socket: Arc<UdpSocket>,
+    /// The tables of the store that this daemon follows.
+    followed: watch::Sender<FollowedTables>,
     /// Random identifier of this process.
     run: u64,
     tables: TableCache,
@@ -80,18 +84,21 @@
     carrier_directory: CarrierDirectory,
     /// Whether this daemon is a carrier.
     carries: bool,
-    /// Content of the last [`Order::Carriers`]: whether to serve sessions here, and the
-    /// carriers to choose from.
-    sent_carriers: Option<(bool, Vec<SocketAddr>)>,
-    /// Since when this daemon has been following all tables again.
-    active_since: Option<Time>,
-    /// Whether the configuration has been read since `active_since`, if that is set.
-    config_current: bool,
+    /// Content of the last [`Order::Carriers`].
+    sent_carriers: Option<CarrierChoice>,
+    /// When this daemon first had the rows of the state table.
+    loaded_at: Option<Time>,
+    /// When this daemon began to follow the operator's table, and whether it has read it since.
+    operator_followed: (Time, bool),
+    /// The same for the members' table.
+    members_followed: (Time, bool),
     store_lost: bool,
     /// When the store last answered a request.
     store_answered_at: Option<Time>,
     /// The store's clock in its latest response, in milliseconds; 0 before the first.
     store_ms: u64,
+    /// When that response arrived.
+    store_ms_at: Time,
     stopping: bool,
     /// When this daemon last had a sufficient grant, needed none, or was not ready for
     /// another reason.
@@ -121,16 +128,11 @@
     tokio::spawn(listen(Arc::clone(&socket), tx.clone()));
     let listener = TcpListener::bind(addr).await?;
     let row_sync_events = tx.clone();
-    tokio::spawn(async move {
-        if let Err(error) = row_sync::serve(listener, row_sync_events).await {
-            logs::error(&format!("row sync server failed: {error}"));
-        }
-    });
+    tokio::spawn(row_sync::serve(listener, row_sync_events));
     let store = StoreClient::new(settings.store);
-    for table in [OPERATOR_TABLE, MEMBERS_TABLE, STATE_TABLE] {
-        tokio::spawn(watch::follow(store.clone(), table, Arc::clone(&shared), tx.clone()));
-    }
-    let mut control = Control::new(settings, shared, orders, tx, store, socket);
+    let (followed, followed_rx) = watch::channel(FollowedTables::default());
+    tokio::spawn(feeds::follow_all(store.clone(), Arc::clone(&shared), followed_rx, tx.clone()));
+    let mut control = Control::new(settings, shared, orders, tx, store, socket, followed);
     let mut ticks = tokio::time::interval(TICK_INTERVAL);
     ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     loop {
@@ -176,6 +178,7 @@
         events: mpsc::UnboundedSender<Event>,
         store: StoreClient,
         socket: Arc<UdpSocket>,
+        followed: watch::Sender<FollowedTables>,
     ) -> Control {
         let run = rand::random();
         let failover_client = FailoverClient::new(settings.failover_api);
@@ -189,6 +192,7 @@
             events,
             store,
             socket,
+            followed,
             run,
             tables: TableCache::default(),
             coordination: CoordinationState::default(),
@@ -210,11 +214,13 @@
             carrier_directory: CarrierDirectory::default(),
             carries: false,
             sent_carriers: None,
-            active_since: None,
-            config_current: true,
+            loaded_at: None,
+            operator_followed: (Time::default(), false),
+            members_followed: (Time::default(), false),
             store_lost: false,
             store_answered_at: None,
             store_ms: 0,
+            store_ms_at: Time::default(),
             stopping: false,
             granted_at: None,
             evacuating: false,
@@ -225,22 +231,30 @@
         match event {
             Event::Rows { table, rows, complete, asked_at } => {
                 self.store_answered_at = Some(clock::now());
-                self.store_ms = self.store_ms.max(rows.clock_ms);
+                if rows.clock_ms >= self.store_ms {
+                    (self.store_ms, self.store_ms_at) = (rows.clock_ms, clock::now());
+                }
                 if self.store_lost {
                     self.store_lost = false;
                     logs::event("dependency regained", &serde_json::json!({"store": table}));
                 }
-                if table == OPERATOR_TABLE {
-                    self.config_current |= self.active_since.is_none_or(|at| asked_at >= at);
+                let followed = match table {
+                    OPERATOR_TABLE => Some(&mut self.operator_followed),
+                    MEMBERS_TABLE => Some(&mut self.members_followed),
+                    _ => None,
+                };
+                if let Some((since, current)) = followed {
+                    *current |= asked_at >= *since;
                 }
                 self.apply_rows(table, rows, complete);
                 if table == STATE_TABLE {
+                    self.update_followed_tables(clock::now());
                     self.grant.store_answered(asked_at, self.coordination.version);
                 }
             }
-            Event::RowsRequested(tx) => {
+            Event::RowsRequested { table, tx } => {
                 // The requesting connection may be closed by now.
-                let _ = tx.send(self.tables.snapshots());
+                let _ = tx.send(self.tables.snapshots(table.as_deref()));
             }
             Event::PeerRows(snapshots) => self.apply_snapshots(snapshots),
             Event::StoreFailed { table, error } => {
--- a/crates/entry/src/control/task/carrier_role.rs
+++ b/crates/entry/src/control/task/carrier_role.rs
@@ -4,7 +4,7 @@
 
 use adapter::{CallError, StoreKey, StoreTransaction};
 use base::{Span, Time};
-use succession::{CarrierRecord, CarrierSlots};
+use succession::{CarrierRecord, CarrierSlots, Feed, FollowedTables, FollowerView};
 
 use super::{Control, STORE_POLL_INTERVAL};
 use crate::{
@@ -14,7 +14,7 @@
         coordinator::encode,
         event::Event,
     },
-    messages::Order,
+    messages::{CarrierChoice, Order},
 };
 
 /// A carrier is not ready when its grant expires within this time. The platform takes two
@@ -28,6 +28,14 @@
 const CARRIER_EXPIRY: Span = Span::from_millis(14_000);
 /// CPU share, in cores, from which a VM claims a carrier slot without delay.
 const LARGE_VM_CORES: f64 = 0.25;
+/// Age up to which the store's clock counts when a carrier slot is claimed: the time written into
+/// the slot's row must not be older than the row.
+const STORE_CLOCK_MAX_AGE: Span = Span::from_millis(1_000);
+/// Silence of all carriers after which a passive daemon asks the store who the carriers are.
+const CARRIERS_SILENT_AFTER: Span = Span::from_millis(3_000);
+/// Range over which passive daemons spread these questions, so that a fleet that has lost its
+/// carriers does not ask the store all at once.
+const CARRIERS_SILENT_SPREAD: Span = Span::from_millis(2_000);
 /// How long smaller VMs leave a free carrier slot to larger ones that are still starting.
 const SMALL_VM_DELAY: Span = Span::from_millis(1_500);
 
@@ -40,6 +48,9 @@
         if !self.coordination.loaded || self.store_ms == 0 || recently || self.stopping {
             return;
         }
+        let clock_age = now.since(self.store_ms_at);
+        // Extrapolated, since a passive daemon does not hear from the store.
+        let store_ms = self.store_ms + clock_age.as_millis();
         let addr = SocketAddr::new(self.settings.callers.ip(), self.settings.ports.0);
         let record = CarrierRecord {
             vm: self.settings.vm.clone(),
@@ -59,11 +70,8 @@
                     .indices()
                     .map(|number| CoordinationState::carrier_slot(&self.settings.zone, number));
                 let mut free = slots.filter_map(|place| {
-                    let version = self.coordination.claimable_version(
-                        &place,
-                        &self.settings.vm,
-                        self.store_ms,
-                    )?;
+                    let version =
+                        self.coordination.claimable_version(&place, &self.settings.vm, store_ms)?;
                     Some((place, version))
                 });
                 let Some((place, version)) = free.next() else {
@@ -79,6 +87,16 @@
             }
         };
         self.last_registration = Some(now);
+        if clock_age > STORE_CLOCK_MAX_AGE {
+            // The claim follows when the store has answered with its clock and the current rows.
+            self.last_registration = None;
+            let recently =
+                self.last_store_poll.is_some_and(|at| now.since(at) < STORE_POLL_INTERVAL);
+            if !recently {
+                self.read_state_table(now);
+            }
+            return;
+        }
         let key = CoordinationState::carrier_key(&place);
         let row = StoreKey { table: STATE_TABLE, key: &key };
         let change =
@@ -142,13 +160,13 @@
     }
 
     pub(super) fn update_readiness(&mut self, now: Time) {
-        self.update_passive(now);
+        self.update_followed_tables(now);
         self.send_carriers(now);
         let known = self.coordination.loaded
             && if self.carries {
                 self.config.is_some() && self.members_known
             } else {
-                self.sent_carriers.as_ref().is_some_and(|(_, choices)| !choices.is_empty())
+                self.sent_carriers.as_ref().is_some_and(|choice| !choice.preferred.is_empty())
             };
         let granted = !self.carries || now + READY_GRANT_MARGIN < self.shared.grant_expiry();
         if granted || !known {
@@ -166,29 +184,49 @@
         }
     }
 
-    /// A daemon is passive, and follows only the state table, while it is no carrier and no
-    /// carrier slot is free. When it becomes active, it reads the other tables again before it
-    /// serves sessions itself.
-    pub(super) fn update_passive(&mut self, now: Time) {
-        let known = self.coordination.loaded && self.config.is_some();
-        let passive = known && !self.carries && self.vacant_since.is_none();
-        if passive {
-            self.active_since = None;
-        } else if self.shared.is_passive() {
-            self.active_since = Some(now);
-            self.config_current = false;
+    /// Decides which tables of the store to follow ([`FollowedTables`]). A table that is followed
+    /// again is read before this daemon serves sessions by it.
+    pub(super) fn update_followed_tables(&mut self, now: Time) {
+        if !self.coordination.loaded {
+            return;
+        }
+        let loaded_at = *self.loaded_at.get_or_insert(now);
+        let spread = Span::from_micros(self.run % CARRIERS_SILENT_SPREAD.as_micros());
+        let silent_after = CARRIERS_SILENT_AFTER + spread;
+        let silence = self.carrier_directory.silence(now);
+        let followed = FollowedTables::new(&FollowerView {
+            carries: self.carries,
+            is_small: self.settings.cores < LARGE_VM_CORES,
+            running_for: now.since(loaded_at),
+            zone_has_carrier: self.coordination.has_carrier_in(&self.settings.zone),
+            slot_is_free: self.config.as_ref().map(|_| self.vacant_since.is_some()),
+            carriers_silent: silence.is_none_or(|silence| silence >= silent_after),
+        });
+        let previous = *self.followed.borrow();
+        if followed == previous {
+            return;
+        }
+        if previous.operator == Feed::Off {
+            self.operator_followed = (now, false);
+        }
+        if previous.members == Feed::Off {
+            self.members_followed = (now, false);
         }
-        self.shared.set_passive(passive);
+        logs::event("followed tables", &serde_json::json!({"tables": format!("{followed:?}")}));
+        // Fails only during shutdown, when no receiver is left.
+        let _ = self.followed.send(followed);
     }
 
     pub(super) fn send_carriers(&mut self, now: Time) {
-        let mut choices = self.carrier_directory.session_addrs(now, &self.settings.zone);
-        choices.sort_unstable();
-        let update = (self.carries && self.config_current, choices);
-        if self.sent_carriers.as_ref() != Some(&update) {
-            self.sent_carriers = Some(update.clone());
-            let (is_carrier, session_addrs) = update;
-            self.send_order(Order::Carriers { is_carrier, session_addrs });
+        let mut preferred = self.carrier_directory.session_addrs(now, &self.settings.zone);
+        let mut answering = self.carrier_directory.answering_addrs(now);
+        preferred.sort_unstable();
+        answering.sort_unstable();
+        let current = self.operator_followed.1 && self.members_followed.1;
+        let choice = CarrierChoice { is_carrier: self.carries && current, preferred, answering };
+        if self.sent_carriers.as_ref() != Some(&choice) {
+            self.sent_carriers = Some(choice.clone());
+            self.send_order(Order::Carriers(choice));
         }
     }
 }
--- a/crates/entry/src/control/task/heartbeats.rs
+++ b/crates/entry/src/control/task/heartbeats.rs
@@ -26,6 +26,10 @@
 /// Age up to which an answer of the store shows that it is reachable: two intervals of the
 /// lease holder's polls and the timeout of a call.
 const STORE_ANSWER_MAX_AGE: Span = Span::from_millis(2_000);
+/// Time after the start before which, and range over which, daemons that are no carriers fetch
+/// the configuration from a carrier: carriers that start as well have better things to do.
+const CONFIG_FETCH_DELAY: Span = Span::from_millis(4_000);
+const CONFIG_FETCH_SPREAD: Span = Span::from_millis(6_000);
 /// How long rows that another daemon has may be missing here before they are requested from
 /// it. The store notifies both daemons within about 10 ms of each other.
 const ROW_SYNC_DELAY: Span = Span::from_millis(250);
@@ -42,7 +46,7 @@
             .collect();
         if !self.carries {
             let request = encode(&self.new_heartbeat(number, (0, 0), &[]));
-            for addr in self.carrier_directory.heartbeat_addrs() {
+            for addr in self.carrier_directory.ask(now, &self.settings.zone) {
                 // A failed send is a lost datagram, which the protocol tolerates.
                 let _ = self.socket.try_send_to(&request, addr);
             }
@@ -65,6 +69,7 @@
             from: self.settings.vm.clone(),
             run: self.run,
             carries: self.carries,
+            accepts_sessions: !self.stopping && clock::now() < self.shared.grant_expiry(),
             acts: self
                 .store_answered_at
                 .is_some_and(|at| clock::now().since(at) < STORE_ANSWER_MAX_AGE),
@@ -72,6 +77,7 @@
             echo,
             echo_run,
             version: self.applied_version,
+            carriers_version: self.coordination.carriers_version,
             newest: [OPERATOR_TABLE, MEMBERS_TABLE, STATE_TABLE]
                 .map(|table| self.tables.newest(table)),
             opinions: opinions.to_vec(),
@@ -80,7 +86,7 @@
 
     pub(super) fn handle_heartbeat(&mut self, heartbeat: &Heartbeat, from: SocketAddr) {
         let now = clock::now();
-        self.carrier_directory.record_answer(now, &heartbeat.from);
+        self.carrier_directory.record_answer(now, &heartbeat.from, heartbeat.accepts_sessions);
         if !heartbeat.carries && self.carries {
             let answer = self.new_heartbeat(0, (heartbeat.number, heartbeat.run), &[]);
             // A failed send is a lost datagram, which the protocol tolerates.
@@ -93,16 +99,29 @@
         self.request_missing_rows(now, heartbeat);
     }
 
-    /// Requests rows from a carrier that the store should have delivered by now.
+    /// Requests rows that a carrier has and this daemon lacks. A carrier does so only when the
+    /// store should have delivered them by now; another daemon needs only the rows that say who
+    /// the carriers are, and the store does not deliver them.
     pub(super) fn request_missing_rows(&mut self, now: Time, heartbeat: &Heartbeat) {
         let own =
             [OPERATOR_TABLE, MEMBERS_TABLE, STATE_TABLE].map(|table| self.tables.newest(table));
-        let behind = heartbeat.newest.iter().zip(own).any(|(theirs, own)| *theirs > own);
-        if !behind || !self.carries {
+        let table = if self.carries {
+            None
+        } else if heartbeat.carriers_version > self.coordination.carriers_version {
+            Some(STATE_TABLE)
+        } else {
+            Some(OPERATOR_TABLE)
+        };
+        let behind = match table {
+            None => heartbeat.newest.iter().zip(own).any(|(theirs, own)| *theirs > own),
+            Some(OPERATOR_TABLE) => heartbeat.carries && self.wants_config(now),
+            Some(_) => true,
+        };
+        if !behind {
             return;
         }
         let since = *self.behind_since.get_or_insert(now);
-        let late = now.since(since) >= ROW_SYNC_DELAY;
+        let late = !self.carries || now.since(since) >= ROW_SYNC_DELAY;
         let recently = self.last_row_sync.is_some_and(|at| now.since(at) < STORE_POLL_INTERVAL);
         let Some(peer) = self.peers.peers.get(&heartbeat.from).filter(|_| late && !recently) else {
             return;
@@ -111,17 +130,27 @@
         self.last_row_sync = Some(now);
         logs::event(
             "requesting missing rows",
-            &serde_json::json!({"from": heartbeat.from, "theirs": heartbeat.newest, "own": own}),
+            &serde_json::json!({"from": heartbeat.from, "theirs": heartbeat.newest, "own": own,
+                "carriers": heartbeat.carriers_version}),
         );
         let (addr, events) = (peer.addr, self.events.clone());
         tokio::spawn(async move {
-            if let Some(snapshots) = row_sync::rows(addr).await {
+            if let Some(snapshots) = row_sync::rows(addr, table).await {
                 // Fails only during shutdown.
                 let _ = events.unbounded_send(Event::PeerRows(snapshots));
             }
         });
     }
 
+    /// Whether a daemon that leaves the configuration to carriers should fetch it, to know the
+    /// number of carrier slots. Daemons that start together do so at different times.
+    fn wants_config(&self, now: Time) -> bool {
+        let delay =
+            CONFIG_FETCH_DELAY + Span::from_micros(self.run % CONFIG_FETCH_SPREAD.as_micros());
+        let due = self.loaded_at.is_some_and(|at| now.since(at) >= delay);
+        self.config.is_none() && due && self.followed.borrow().is_passive()
+    }
+
     /// Polls the store while the other carriers' answers do not suffice for the grant, and,
     /// as the holder of the failover lease, to know whether the store is reachable.
     pub(super) fn poll_store(&mut self, now: Time) {
@@ -132,6 +161,11 @@
         if recently || !wanted || !self.carries || !self.coordination.loaded {
             return;
         }
+        self.read_state_table(now);
+    }
+
+    /// Reads the state table from the store.
+    pub(super) fn read_state_table(&mut self, now: Time) {
         self.last_store_poll = Some(now);
         self.shared.count(Counter::StoreCalls);
         let (store, events) = (self.store.clone(), self.events.clone());
--- a/crates/entry/src/data/context.rs
+++ b/crates/entry/src/data/context.rs
@@ -15,6 +15,7 @@
 use crate::{
     control::Event,
     data::{group::Group, names::StatementNumbers},
+    messages::CarrierChoice,
     shared::Shared,
 };
 
@@ -48,10 +49,8 @@
     /// Whether a session without a transaction is closed after its current reply, without
     /// waiting for a pause between its requests.
     pub(crate) close_after_reply: Cell<bool>,
-    /// Whether this daemon is a carrier: it runs statements on members itself.
-    pub(crate) carries: Cell<bool>,
-    /// Session addresses of the available carriers, for a daemon that is not a carrier.
-    pub(crate) carrier_addrs: RefCell<Vec<SocketAddr>>,
+    /// Who runs the statements of this daemon's sessions.
+    pub(crate) carriers: RefCell<CarrierChoice>,
     /// Whether idle sessions are closed so that callers reconnect to other daemons.
     pub(crate) evacuate: Cell<bool>,
     last_id: Cell<u64>,
@@ -88,8 +87,7 @@
             stop_idle_sessions: stop_idle_sessions.shared(),
             stop_transactions: stop_transactions.shared(),
             close_after_reply: Cell::new(false),
-            carries: Cell::new(false),
-            carrier_addrs: RefCell::default(),
+            carriers: RefCell::default(),
             evacuate: Cell::new(false),
             last_id: Cell::new(0),
         };
@@ -103,17 +101,27 @@
         number
     }
 
+    /// Whether this daemon runs statements on members itself.
+    pub(crate) fn is_carrier(&self) -> bool {
+        self.carriers.borrow().is_carrier
+    }
+
+    /// Whether sessions may stay with the carrier with this session address.
+    pub(crate) fn is_carrier_preferred(&self, sessions: SocketAddr) -> bool {
+        self.carriers.borrow().preferred.contains(&sessions)
+    }
+
     /// Whether the carrier with this session address still answers.
-    pub(crate) fn is_carrier_available(&self, sessions: SocketAddr) -> bool {
-        self.carrier_addrs.borrow().contains(&sessions)
+    pub(crate) fn is_carrier_answering(&self, sessions: SocketAddr) -> bool {
+        self.carriers.borrow().answering.contains(&sessions)
     }
 
     /// Whether sessions can be served, directly or through a carrier.
     pub(crate) fn can_serve(&self) -> bool {
-        if self.carries.get() {
+        if self.is_carrier() {
             self.config.borrow().is_some()
         } else {
-            !self.carrier_addrs.borrow().is_empty()
+            !self.carriers.borrow().preferred.is_empty()
         }
     }
 
--- a/crates/entry/src/data/relay.rs
+++ b/crates/entry/src/data/relay.rs
@@ -252,13 +252,13 @@
     /// Keeps the session's carrier while it is available, otherwise connects to another one.
     async fn ensure_carrier(&mut self) -> Result<(), MemberError> {
         if let Some((conn, sessions)) = &mut self.relay.conn
-            && self.cx.is_carrier_available(*sessions)
+            && self.cx.is_carrier_preferred(*sessions)
             && !conn.is_stale()
         {
             return Ok(());
         }
         self.relay.close();
-        let chosen = self.cx.carrier_addrs.borrow().choose(&mut rand::rng()).copied();
+        let chosen = self.cx.carriers.borrow().preferred.choose(&mut rand::rng()).copied();
         let Some(sessions) = chosen else { return Err(MemberError::Silent) };
         let number = self.cx.number();
         let client = self.cx.vm.clone();
@@ -306,7 +306,7 @@
             conn.read_answer().await
         };
         let gone = async {
-            while cx.is_carrier_available(*sessions) {
+            while cx.is_carrier_answering(*sessions) {
                 time::sleep(CARRIER_CHECK_INTERVAL).await;
             }
         };
--- a/crates/entry/src/data/session.rs
+++ b/crates/entry/src/data/session.rs
@@ -114,7 +114,7 @@
         if !self.cx.can_serve() {
             return self.reject(Code::Busy, "no configuration or no carrier yet").await;
         }
-        self.relayed = !self.cx.carries.get();
+        self.relayed = !self.cx.is_carrier();
         if self.relayed {
             if let Err((code, text)) = self.connect_to_carrier().await {
                 return self.reject(code, &text).await;
--- a/crates/entry/src/data/task.rs
+++ b/crates/entry/src/data/task.rs
@@ -75,10 +75,7 @@
         Order::SetPrimary { group, lead, planned, version } => {
             cx.group(&group).set_primary(lead, planned, version);
         }
-        Order::Carriers { is_carrier, session_addrs } => {
-            cx.carries.set(is_carrier);
-            *cx.carrier_addrs.borrow_mut() = session_addrs;
-        }
+        Order::Carriers(choice) => *cx.carriers.borrow_mut() = choice,
         Order::Evacuate(evacuate) => {
             logs::event("evacuation", &serde_json::json!({"evacuate": evacuate}));
             cx.evacuate.set(evacuate);
--- a/crates/entry/src/messages.rs
+++ b/crates/entry/src/messages.rs
@@ -20,7 +20,7 @@
     SetPrimary { group: String, lead: Option<MemberId>, planned: bool, version: u64 },
     /// Sets whether this daemon connects sessions to members itself, and the carriers
     /// to choose from if it does not.
-    Carriers { is_carrier: bool, session_addrs: Vec<SocketAddr> },
+    Carriers(CarrierChoice),
     /// Sets whether idle sessions are closed so that their callers move to other
     /// daemons, because this one cannot determine the primary.
     Evacuate(bool),
@@ -28,6 +28,17 @@
     Stop,
 }
 
+/// Who runs the statements of a daemon's sessions.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub(crate) struct CarrierChoice {
+    /// Whether this daemon connects sessions to members itself.
+    pub(crate) is_carrier: bool,
+    /// Session addresses of the carriers to choose from if it does not.
+    pub(crate) preferred: Vec<SocketAddr>,
+    /// Session addresses of all carriers that answer, whose answers are still awaited.
+    pub(crate) answering: Vec<SocketAddr>,
+}
+
 /// Message from the data thread to the control thread.
 #[derive(Debug)]
 pub(crate) enum Report {
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -14,7 +14,6 @@
 pub(crate) struct Shared {
     grant_expiry: AtomicU64,
     ready: AtomicBool,
-    passive: AtomicBool,
     peers_suffice: AtomicBool,
     counters: [AtomicU64; Counter::COUNT],
     latency: Mutex<Histogram<u64>>,
@@ -59,7 +58,6 @@
         Shared {
             grant_expiry: AtomicU64::new(0),
             ready: AtomicBool::new(false),
-            passive: AtomicBool::new(false),
             peers_suffice: AtomicBool::new(false),
             counters: Default::default(),
             latency: Mutex::new(latency.expect("two significant digits are valid for a histogram")),
@@ -84,16 +82,6 @@
         self.ready.store(ready, Ordering::Relaxed);
     }
 
-    /// Whether this daemon reaches members only through carriers, and so need not watch
-    /// the operators' and members' rows.
-    pub(crate) fn is_passive(&self) -> bool {
-        self.passive.load(Ordering::Relaxed)
-    }
-
-    pub(crate) fn set_passive(&self, passive: bool) {
-        self.passive.store(passive, Ordering::Relaxed);
-    }
-
     /// Records whether the other daemons' answers alone, without the store, grant the use
     /// of primaries.
     pub(crate) fn set_peers_suffice(&self, suffice: bool) {
--- a/crates/succession/src/carrier_directory.rs
+++ b/crates/succession/src/carrier_directory.rs
@@ -10,8 +10,13 @@
 /// Minimum and maximum number of carriers. With fewer, the loss of one would be noticeable;
 /// with more, a failover would have to wait for many.
 const CARRIER_COUNT: (u32, u32) = (8, 12);
-/// Silence after which a carrier gets no new sessions: several heartbeats unanswered.
-const SILENT_AFTER: Span = Span::from_millis(1_300);
+/// How long a heartbeat may go unanswered before its carrier gets no new sessions: two further
+/// heartbeats.
+const SILENT_AFTER: Span = Span::from_millis(900);
+/// How long a heartbeat may go unanswered before the carrier is doubted. The carriers of the
+/// other availability zones are then asked as well, so that it is known which of them answer by
+/// the time that sessions have to move.
+const DOUBTED_AFTER: Span = Span::from_millis(200);
 /// How long a carrier gets no new sessions after one has failed.
 const AVOID_AFTER_FAILURE: Span = Span::from_millis(1_000);
 
@@ -43,7 +48,12 @@
 #[derive(Debug)]
 struct Carrier {
     record: CarrierRecord,
-    last_answer: Option<Time>,
+    /// When it last answered, or was first listed.
+    last_answer: Time,
+    /// When it was first asked after its last answer; `None` if it was not asked since.
+    unanswered_since: Option<Time>,
+    /// Whether it accepts sessions, as it said last.
+    accepts: bool,
     failed_until: Option<Time>,
 }
 
@@ -57,7 +67,9 @@
             // A new carrier counts as having answered, so that it can get sessions at once.
             let carrier = previous.unwrap_or_else(|| Carrier {
                 record: record.clone(),
-                last_answer: Some(now),
+                last_answer: now,
+                unanswered_since: None,
+                accepts: true,
                 failed_until: None,
             });
             carriers.insert(record.vm.clone(), carrier);
@@ -65,10 +77,13 @@
         self.carriers = carriers;
     }
 
-    /// Records that a carrier has answered this daemon's heartbeat.
-    pub fn record_answer(&mut self, now: Time, vm: &str) {
+    /// Records that a carrier has answered this daemon's heartbeat; `accepts` is whether it may
+    /// use primaries and is not stopping.
+    pub fn record_answer(&mut self, now: Time, vm: &str, accepts: bool) {
         if let Some(carrier) = self.carriers.get_mut(vm) {
-            carrier.last_answer = Some(now);
+            carrier.accepts = accepts;
+            carrier.last_answer = now;
+            carrier.unanswered_since = None;
         }
     }
 
@@ -80,18 +95,36 @@
         }
     }
 
-    /// Heartbeat addresses of all carriers.
-    pub fn heartbeat_addrs(&self) -> impl Iterator<Item = SocketAddr> {
-        self.carriers.values().map(|carrier| carrier.record.addr)
+    /// Records that a round of heartbeats is sent, and returns the addresses to send them to:
+    /// the carriers in `zone` while all of them answer, otherwise all carriers. In a large fleet,
+    /// asking all of them each time would be most of the traffic between zones.
+    pub fn ask(&mut self, now: Time, zone: &str) -> Vec<SocketAddr> {
+        let doubted = self.is_zone_doubted(now, zone);
+        let carriers = self.carriers.values_mut();
+        let asked = carriers.filter(|carrier| doubted || carrier.record.zone == zone);
+        let addrs = asked.map(|carrier| {
+            carrier.unanswered_since.get_or_insert(now);
+            carrier.record.addr
+        });
+        addrs.collect()
+    }
+
+    /// Time since a carrier last answered; `None` if no carrier is known.
+    pub fn silence(&self, now: Time) -> Option<Span> {
+        let last = self.carriers.values().map(|carrier| carrier.last_answer).max();
+        last.map(|at| now.since(at))
+    }
+
+    /// Whether no carrier of `zone` is known, or not all of them answer.
+    fn is_zone_doubted(&self, now: Time, zone: &str) -> bool {
+        let own = || self.carriers.values().filter(|carrier| carrier.record.zone == zone);
+        own().next().is_none() || !own().all(|carrier| carrier.is_healthy(now, DOUBTED_AFTER))
     }
 
     /// Addresses for new sessions: the healthy carriers in `zone` if there are any, else all
-    /// healthy carriers, and if no carrier is healthy, all carriers.
+    /// healthy carriers, else all that answer, else all.
     pub fn session_addrs(&self, now: Time, zone: &str) -> Vec<SocketAddr> {
-        let healthy = |carrier: &&Carrier| {
-            let answers = carrier.last_answer.is_some_and(|at| now.since(at) < SILENT_AFTER);
-            answers && carrier.failed_until.is_none_or(|until| until <= now)
-        };
+        let healthy = |carrier: &&Carrier| carrier.is_healthy(now, SILENT_AFTER);
         let same_zone = |carrier: &&Carrier| carrier.record.zone == zone;
         let sessions = |carrier: &Carrier| carrier.record.sessions;
         let all = || self.carriers.values();
@@ -100,6 +133,31 @@
             return best;
         }
         let any: Vec<_> = all().filter(healthy).map(sessions).collect();
-        if any.is_empty() { all().map(sessions).collect() } else { any }
+        if !any.is_empty() {
+            return any;
+        }
+        let answering = self.answering_addrs(now);
+        if answering.is_empty() { all().map(sessions).collect() } else { answering }
+    }
+
+    /// Session addresses of all carriers that answer. A statement that has been sent to one of
+    /// them may still be answered, even if new sessions go elsewhere.
+    pub fn answering_addrs(&self, now: Time) -> Vec<SocketAddr> {
+        let answering = self.carriers.values().filter(|it| it.answers(now, SILENT_AFTER));
+        answering.map(|carrier| carrier.record.sessions).collect()
+    }
+}
+
+impl Carrier {
+    /// Whether no heartbeat has gone unanswered for `limit`. A carrier that was not asked counts
+    /// as answering.
+    fn answers(&self, now: Time, limit: Span) -> bool {
+        self.unanswered_since.is_none_or(|at| now.since(at) < limit)
+    }
+
+    /// Whether it answers and accepts sessions, and no session with it has failed lately.
+    fn is_healthy(&self, now: Time, limit: Span) -> bool {
+        let failed = self.failed_until.is_some_and(|until| now < until);
+        self.answers(now, limit) && self.accepts && !failed
     }
 }
--- a/crates/succession/src/lib.rs
+++ b/crates/succession/src/lib.rs
@@ -9,6 +9,7 @@
 mod assessment;
 mod carrier_directory;
 mod failover;
+mod followed_tables;
 mod grants;
 mod records;
 
@@ -16,6 +17,7 @@
     assessment::{Assessment, PrimaryHealth, assess},
     carrier_directory::{CarrierDirectory, CarrierSlots},
     failover::{Action, Candidate, CandidateStatus, Failover, FailoverView, PromotionOutcome},
+    followed_tables::{Feed, FollowedTables, FollowerView},
     grants::{
         CarrierState, GRANT_DURATION, GRANT_WITHOUT_STORE, PrimaryGrant, SETTLED_AFTER,
         is_majority_of_every_list, is_primary_unused,
--- a/crates/succession/tests/carriers.rs
+++ b/crates/succession/tests/carriers.rs
@@ -33,12 +33,14 @@
     assert_eq!(ports(&carriers, start), [11, 21]);
     carriers.record_failure(start, records[0].sessions);
     assert_eq!(ports(&carriers, start), [21]);
+    assert_eq!(carriers.ask(start, "a").len(), 3);
     let later = start + Span::from_millis(1_400);
-    carriers.record_answer(later, "3");
+    carriers.record_answer(later, "3", true);
     assert_eq!(ports(&carriers, later), [31]);
+    assert_eq!(carriers.ask(later, "a").len(), 3);
     let much_later = later + Span::from_millis(5_000);
     assert_eq!(ports(&carriers, much_later), [11, 21, 31]);
-    carriers.record_answer(much_later, "1");
+    carriers.record_answer(much_later, "1", true);
     assert_eq!(ports(&carriers, much_later), [11]);
 }
 
@@ -53,3 +55,75 @@
     check(176, 4, 3);
     check(100_000, 10, 2);
 }
+
+/// Fleets of hundreds of VMs: a heartbeat of each to each carrier would be most of the traffic
+/// between zones.
+#[test]
+fn carriers_of_other_zones_are_asked_only_while_the_own_zone_is_in_doubt() {
+    let records = [record("1", "a", 10), record("2", "a", 20), record("3", "b", 30)];
+    let start = Time::from_micros(1_000_000);
+    let at = |millis| start + Span::from_millis(millis);
+    let mut carriers = CarrierDirectory::default();
+    carriers.set(start, records.iter());
+    let ask = |carriers: &mut CarrierDirectory, now| {
+        let mut ports: Vec<_> = carriers.ask(now, "a").iter().map(SocketAddr::port).collect();
+        ports.sort_unstable();
+        ports
+    };
+    assert_eq!(ask(&mut carriers, at(0)), [10, 20]);
+    carriers.record_answer(at(1), "1", true);
+    carriers.record_answer(at(1), "2", true);
+    assert_eq!(ask(&mut carriers, at(500)), [10, 20]);
+    carriers.record_answer(at(501), "1", true);
+    assert_eq!(ask(&mut carriers, at(1_000)), [10, 20, 30], "one has not answered since 500");
+    carriers.record_answer(at(1_001), "1", true);
+    carriers.record_answer(at(1_001), "3", true);
+    assert_eq!(ports(&carriers, at(1_500)), [11], "the silent one gets no new sessions");
+    carriers.record_failure(at(1_500), records[0].sessions);
+    assert_eq!(ports(&carriers, at(1_500)), [31], "a carrier of another zone is known to answer");
+    carriers.record_answer(at(1_600), "2", true);
+    assert_eq!(carriers.silence(at(1_700)), Some(Span::from_millis(100)));
+    assert_eq!(carriers.silence(at(5_600)), Some(Span::from_millis(4_000)));
+}
+
+/// A carrier that was not asked has not been silent: sessions may move to it at once.
+#[test]
+fn a_carrier_that_was_not_asked_counts_as_answering() {
+    let records = [record("1", "a", 10), record("2", "b", 20)];
+    let start = Time::from_micros(1_000_000);
+    let mut carriers = CarrierDirectory::default();
+    carriers.set(start, records.iter());
+    let later = start + Span::from_millis(10_000);
+    carriers.record_answer(later, "1", true);
+    carriers.record_failure(later, records[0].sessions);
+    assert_eq!(ports(&carriers, later), [21]);
+}
+
+/// A carrier that is cut off from the store and the other carriers still answers the VMs that
+/// reach it, but refuses whatever needs a primary.
+#[test]
+fn sessions_leave_a_carrier_without_grant_but_wait_for_its_answers() {
+    let records = [record("1", "a", 10), record("2", "b", 20)];
+    let start = Time::from_micros(1_000_000);
+    let mut carriers = CarrierDirectory::default();
+    carriers.set(start, records.iter());
+    carriers.record_answer(start, "1", false);
+    assert_eq!(ports(&carriers, start), [21]);
+    assert_eq!(carriers.answering_addrs(start).len(), 2);
+    carriers.record_answer(start, "2", false);
+    assert_eq!(ports(&carriers, start), [11, 21], "reads may still be answered");
+    carriers.record_answer(start, "1", true);
+    assert_eq!(ports(&carriers, start), [11]);
+}
+
+/// One broken session must not end the statements of all others with the same carrier.
+#[test]
+fn a_carrier_with_a_failed_session_still_answers() {
+    let records = [record("1", "a", 10), record("2", "a", 20)];
+    let start = Time::from_micros(1_000_000);
+    let mut carriers = CarrierDirectory::default();
+    carriers.set(start, records.iter());
+    carriers.record_failure(start, records[0].sessions);
+    assert_eq!(ports(&carriers, start), [21]);
+    assert_eq!(carriers.answering_addrs(start).len(), 2);
+}
