Never say 'not run' of a submission whose earlier attempt may have run

Cause (operators of similar systems: after a lost answer the caller was told that it had not run): with an idempotency key the daemon retries a submission whose commit was not answered or could not be proven. When the retry was then refused (limits, budget, deadline, cancelled), the caller got 57P03 or 53300 with 'Not run.', although the first attempt had run. Change: such an attempt ends as RetryUnresolved; from then on the request fails with 08007 'may or may not have run', also when another daemon's refusal would be passed on. Reads whose member was lost keep their code and no longer claim that they have not run. Test: fails before (57P03, 'Not run.', and the row is there), passes through each of three daemons.

--- a/crates/daemon/src/session/active_request.rs
+++ b/crates/daemon/src/session/active_request.rs
@@ -28,6 +28,9 @@
     pub(crate) deadline: Time,
     /// Idempotency key, which makes the request safe to retry; `None` without one.
     pub(crate) idempotency_key: Option<String>,
+    /// Whether an earlier attempt may have run, so that the caller must not be told that the
+    /// request has not run.
+    pub(crate) may_have_run: bool,
 }
 
 impl ActiveRequest<'_> {
@@ -66,6 +69,8 @@
     /// Nothing has run, or the request may safely run again; a retry, counted against
     /// the retry budgets, may succeed. The text is the reason.
     Retry(&'static str),
+    /// As [`AttemptOutcome::Retry`], but the request may have run.
+    RetryUnresolved(&'static str),
     /// The home is unknown, unreachable or has moved; no member was involved, so a
     /// retry is not counted. The text is the reason.
     Reroute(&'static str),
--- a/crates/daemon/src/session/idempotency.rs
+++ b/crates/daemon/src/session/idempotency.rs
@@ -163,11 +163,16 @@
         );
         let Ok(committed) = self.query_member(&mut conn, &update).await else {
             lease.end_closed(RunResult::Broken);
-            return Ok(AttemptOutcome::Retry("the connection to the member broke"));
+            let reason = "the connection to the member broke before it answered the commit";
+            return Ok(AttemptOutcome::RetryUnresolved(reason));
         };
-        let (Some(position), None) = (committed.position, committed.error) else {
+        if committed.error.is_some() {
             lease.end_closed(RunResult::StaleTerm);
             return Ok(AttemptOutcome::Retry("the member refused the commit"));
+        }
+        let Some(position) = committed.position else {
+            lease.end_closed(RunResult::Broken);
+            return Ok(AttemptOutcome::RetryUnresolved("the member reported no position"));
         };
         self.report_commit_at(group, request, position);
         lease.end_idle(RunResult::Answered, conn);
@@ -212,7 +217,7 @@
         if self.wait_acknowledged().await.is_err() {
             // The key makes a retry safe: it either finds the stored answer or runs
             // the submission.
-            return Ok(AttemptOutcome::Retry("the write could not be proven"));
+            return Ok(AttemptOutcome::RetryUnresolved("the write could not be proven"));
         }
         self.report_token();
         self.conn.queue_bytes(answer);
--- a/crates/daemon/src/session/remote.rs
+++ b/crates/daemon/src/session/remote.rs
@@ -1,6 +1,6 @@
 use std::{net::SocketAddr, rc::Rc};
 
-use wire::WireError;
+use wire::{WireError, sqlstate};
 
 use crate::{
     group::{HeldConn, Owner, PooledConn},
@@ -39,12 +39,17 @@
         conn.upstream.conn.queue_bytes(&statements::encode_simple_query(&forward.set_statement()));
         let translated = self.translate(request, &mut conn)?;
         let mut response = ResponseBuffer::default();
-        let end = self.exchange(request, &mut conn, 1, translated, &mut response, false).await?;
+        // Held back if the home's answer must not reach the caller as it is.
+        let hold_completion = request.may_have_run;
+        let end = self
+            .exchange(request, &mut conn, 1, translated, &mut response, hold_completion)
+            .await?;
         match end {
             RelayEnd::CallerGone => Ok(AttemptOutcome::CallerGone),
             RelayEnd::Broken => {
                 if !request.must_not_repeat() && !response.sent_any() {
-                    return Ok(AttemptOutcome::Retry("the connection to the group's home broke"));
+                    let reason = "the connection to the group's home broke";
+                    return Ok(AttemptOutcome::RetryUnresolved(reason));
                 }
                 self.fail_broken(request, response.sent_any())?;
                 Ok(AttemptOutcome::Answered)
@@ -53,6 +58,14 @@
                 self.cx.daemon_pool.borrow_mut().put_back(addr, conn);
                 Ok(AttemptOutcome::Reroute("the group's home has moved"))
             }
+            RelayEnd::Ready(ready) if request.may_have_run && ready.error.is_some() => {
+                // The home knows nothing of the earlier attempt, and may say "not run".
+                self.cx.daemon_pool.borrow_mut().put_back(addr, conn);
+                let code = ready.error.as_deref().unwrap_or(sqlstate::CANNOT_CONNECT_NOW);
+                let message = "the group's home refused to repeat the request";
+                self.fail_unserved(request, code, message)?;
+                Ok(AttemptOutcome::Answered)
+            }
             RelayEnd::Ready(ready) => {
                 self.save_settings(&ready);
                 self.record_settings(request, &ready, &mut conn);
--- a/crates/daemon/src/session/serve.rs
+++ b/crates/daemon/src/session/serve.rs
@@ -57,8 +57,17 @@
         let deadline = self.cx.clock.now() + Span::from_millis(wait_ms);
         let id = self.cx.next_request_id();
         let idempotency_key = self.idempotency_key(plan);
-        let request =
-            ActiveRequest { id, frames, plan, synced, key, policy, deadline, idempotency_key };
+        let request = ActiveRequest {
+            id,
+            frames,
+            plan,
+            synced,
+            key,
+            policy,
+            deadline,
+            idempotency_key,
+            may_have_run: false,
+        };
         if request.idempotency_key.is_some() && self.held.is_some() {
             let message = "an idempotency key cannot be used within a transaction";
             return self.fail(sqlstate::FEATURE_NOT_SUPPORTED, message, NOT_RUN, synced);
@@ -109,23 +118,22 @@
                 Location::Remote(_) => return self.fail_not_home(&request),
                 Location::Unknown => AttemptOutcome::Reroute("no home of the group is known"),
             };
-            let reason = match outcome {
+            let (reason, counted) = match outcome {
                 AttemptOutcome::Answered => return Ok(()),
                 AttemptOutcome::CallerGone => return Err(WireError::Closed),
-                AttemptOutcome::Reroute(reason) => reason,
-                AttemptOutcome::Retry(reason) if self.take_retry() => reason,
-                AttemptOutcome::Retry(reason) => {
-                    self.cx.metrics.count("retries_refused");
-                    return self.fail(
-                        sqlstate::CANNOT_CONNECT_NOW,
-                        reason,
-                        NOT_RUN,
-                        request.synced,
-                    );
+                AttemptOutcome::Reroute(reason) => (reason, false),
+                AttemptOutcome::Retry(reason) => (reason, true),
+                AttemptOutcome::RetryUnresolved(reason) => {
+                    request.may_have_run = true;
+                    (reason, true)
                 }
             };
+            if counted && !self.take_retry() {
+                self.cx.metrics.count("retries_refused");
+                return self.fail_unserved(&request, sqlstate::CANNOT_CONNECT_NOW, reason);
+            }
             if self.cx.clock.now() >= request.deadline {
-                return self.fail(sqlstate::CANNOT_CONNECT_NOW, reason, NOT_RUN, request.synced);
+                return self.fail_unserved(&request, sqlstate::CANNOT_CONNECT_NOW, reason);
             }
             if !self.wait_before_retry(self.cx.jitter(pause)).await {
                 return Err(WireError::Closed);
@@ -194,7 +202,7 @@
             }
             SubmitOutcome::Cancelled => {
                 let message = "canceling statement due to user request";
-                self.fail(sqlstate::QUERY_CANCELED, message, NOT_RUN, request.synced)?;
+                self.fail_unserved(request, sqlstate::QUERY_CANCELED, message)?;
                 Ok(AttemptOutcome::Answered)
             }
             SubmitOutcome::CallerGone => Ok(AttemptOutcome::CallerGone),
@@ -307,7 +315,8 @@
             RelayEnd::Broken => {
                 lease.end_closed(RunResult::Broken);
                 if !request.must_not_repeat() && !response.sent_any() {
-                    return Ok(AttemptOutcome::Retry("the connection to the member broke"));
+                    let reason = "the connection to the member broke";
+                    return Ok(AttemptOutcome::RetryUnresolved(reason));
                 }
                 self.fail_broken(request, response.sent_any())?;
                 Ok(AttemptOutcome::Answered)
@@ -559,7 +568,25 @@
         decision.group = Some(&self.profile.group);
         decision.rank = Some(request.key.rank);
         decision.log();
-        self.fail(code, &reason, NOT_RUN, request.synced)
+        self.fail_unserved(request, code, &reason)
+    }
+
+    /// Answers a request whose last attempt did not run. If an earlier attempt may have run, a
+    /// submission's outcome is unknown, whatever became of the last attempt.
+    pub(crate) fn fail_unserved(
+        &mut self,
+        request: &ActiveRequest<'_>,
+        code: &str,
+        message: &str,
+    ) -> Result<(), WireError> {
+        let writes = request.plan.kind == StatementKind::Write;
+        match request.may_have_run {
+            false => self.fail(code, message, NOT_RUN, request.synced),
+            true if writes => {
+                self.fail(sqlstate::RESOLUTION_UNKNOWN, message, MAY_HAVE_RUN, request.synced)
+            }
+            true => self.fail(code, message, MAY_HAVE_RUN, request.synced),
+        }
     }
 
     /// Fails a request whose connection broke after the request was sent.
--- a/crates/e2e/src/test_env.rs
+++ b/crates/e2e/src/test_env.rs
@@ -47,6 +47,20 @@
         table
     }
 
+    /// A table with two names for the first group: submissions of `limited` may start at one a
+    /// second, those of `unlimited` at any rate.
+    pub fn table_with_rate_limit(limited: &str, unlimited: &str) -> String {
+        let mut table = format!("{TABLE_HEADER}\n");
+        for (name, per_second) in [(limited, "1"), (unlimited, "0")] {
+            for rank in ["submission", "lookup", "report"] {
+                table.push_str(&format!(
+                    "{name},{rank},base-prensa-1,1,0,0,{per_second},0,0,0,replica\n"
+                ));
+            }
+        }
+        table
+    }
+
     /// Connects a caller to a daemon, numbered from 1.
     pub async fn caller(&self, daemon: usize, user: &str, name: &str) -> Caller {
         let addr = self.cluster.addrs()[daemon - 1];
--- a/crates/e2e/tests/at_most_once.rs
+++ b/crates/e2e/tests/at_most_once.rs
@@ -106,3 +106,24 @@
     }
     assert_eq!(count(&clerk).await, "  1\n  done 1\n");
 }
+
+/// The answer to a commit is lost, and the table's limits leave no room for the retry that would
+/// find it. The submission has run, so the caller must not be told that it has not.
+#[tokio::test]
+async fn a_submission_that_ran_is_not_reported_as_not_run_when_its_retry_is_refused() {
+    for daemon in 1..=3 {
+        let mut options = Options::default();
+        options.table = Some(TestEnv::table_with_rate_limit("orders", "pedidos"));
+        options.timing.wait_ms = 400;
+        let env = TestEnv::start(&options);
+        let setup = env.caller(daemon, "clerk", "pedidos").await;
+        setup.run("CREATE TABLE entries (id integer primary key, ferret text)").await;
+        setup.run(&insert_sql("Hana", "k-0")).await;
+        env.set_fault("base-prensa-1-a", "lose_answer", 1).await;
+        let clerk = env.caller(daemon, "clerk", "orders").await;
+        let answer = clerk.run(&insert_sql("Kiku", "k-1")).await;
+        assert!(answer.contains("error 08007") && !answer.contains("Not run"), "{answer}");
+        assert_eq!(count(&setup).await, "  2\n  done 1\n", "it has run");
+        assert_eq!(setup.run(&insert_sql("Kiku", "k-1")).await, "  2\n  done 1\n");
+    }
+}
