Do not take over rows that were deleted before the table was read

Cause (operators of similar systems: after a restart a server that had left was in use again): a daemon that restarts reads all rows, and may then fetch rows from a daemon that lags behind in another table. A row that it had never seen counted as new, whatever its age, so the entry of a member that had left came back, and no change would ever delete it again. An older response that arrives late did the same. Change: the cache reflects all changes up to its version; an older row that is not cached has been deleted.

--- a/crates/entry/src/control/tables.rs
+++ b/crates/entry/src/control/tables.rs
@@ -33,6 +33,10 @@
 impl TableCache {
     /// Merges rows of a table into the cache and returns those that changed it. If `complete`,
     /// cached rows that are missing from `rows` are marked as deleted.
+    ///
+    /// The cache reflects every change up to `as_of`. A row that is not cached although it is older
+    /// has been deleted, and comes from a daemon or a response that has not noticed yet: it is
+    /// ignored, or a member that has left would be used again.
     pub(crate) fn merge(&mut self, table: &'static str, rows: Rows, complete: bool) -> Vec<Row> {
         let table = self.tables.entry(table).or_default();
         let mut updates = Vec::new();
@@ -47,7 +51,7 @@
             }
         }
         for row in rows.rows {
-            let cached_version = table.rows.get(&row.key).map_or(0, |cached| cached.version);
+            let cached_version = table.rows.get(&row.key).map_or(table.as_of, |it| it.version);
             if row.version > cached_version {
                 table.newest = table.newest.max(row.version);
                 table.rows.insert(row.key.clone(), row.clone());
@@ -87,3 +91,6 @@
         Rows { rows: rows.collect(), version: snapshot.as_of, clock_ms: 0 }
     }
 }
+
+#[cfg(test)]
+mod tests;
