Test that malformed input on any port or in the store leaves the daemon serving

Looked for (operators of similar systems: one malformed message took a process down): garbage, cut-off statements, a line of 3 MB and a number that overflows, on the ports for callers, row sync, readiness and metrics, as datagrams, and rows of the store that cannot be decoded. The daemon serves through all of it, applies the next configuration and ends in order.

--- a/crates/entry/tests/platform.rs
+++ b/crates/entry/tests/platform.rs
@@ -7,7 +7,7 @@
     time::{Duration, Instant},
 };
 
-use support::{Client, Daemon, databases, start_platform};
+use support::{Client, Daemon, daemon, databases, start_platform};
 
 /// Longest time that the users allow for a failover.
 const FAILOVER_TIMEOUT: Duration = Duration::from_secs(6);
@@ -226,6 +226,44 @@
     assert!(daemon.wait());
 }
 
+/// Whatever arrives on one of the daemon's ports or in a row of the store, the daemon goes on.
+#[test]
+fn malformed_input_leaves_the_daemon_serving() {
+    let platform = start_platform();
+    let mut daemon = Daemon::start("d1", "127.0.1.11", 0.25, platform.addr);
+    daemon.wait_ready();
+    wait_for_writes(&daemon);
+    let mut session = client(&daemon, "orders");
+    let long_line = vec![b'x'; 3 * 1024 * 1024];
+    let inputs: [&[u8]; 6] = [
+        b"\0\xff\xfe\x80\r\n",
+        b"STARTUP\r\nQUERY\r\n",
+        b"STARTUP orders u\r\nQUERY 1 EXECUTE\r\nQUERY 2 PREPARE s\r\nQUERY 3 AFTER 9 \r\n",
+        b"STARTUP orders u\r\nQUERY 1 AFTER 99999999999999999999.1 FETCH a\r\n",
+        b"\xff\xff\xff\xff{\"from\":1}",
+        &long_line,
+    ];
+    for input in inputs {
+        for addr in daemon.addrs() {
+            daemon::send_bytes(addr, input);
+        }
+        daemon::send_datagram(daemon.peers, input);
+        assert!(session.query("STORE lot oak").result.is_ok(), "{input:.40?}");
+    }
+    platform.put_row("servers", "broken", b"\xff not an entry");
+    platform.put_row("corianderwharf", "lead/svc1-other", b"{\"primary\":7}");
+    platform.put_row("corianderwharf", "carrier/a/9", b"[]");
+    platform.put_row("corianderwharf", "unknown", b"");
+    platform.configure(&databases(&["orders", "lookups", "late"]));
+    eventually(CONFIG_TIMEOUT, "the next configuration", || {
+        Client::connect(daemon.callers, "late").is_ok()
+    });
+    assert!(session.query("STORE lot elm").result.is_ok());
+    daemon.terminate();
+    drop(session);
+    assert!(daemon.wait(), "the daemon did not end by itself before");
+}
+
 /// Compares transcripts of complete line protocol sessions with stored snapshots.
 #[test]
 fn session_transcripts_match_the_snapshots() {
--- a/crates/entry/tests/support/daemon.rs
+++ b/crates/entry/tests/support/daemon.rs
@@ -17,6 +17,8 @@
 pub struct Daemon {
     child: Child,
     pub callers: SocketAddr,
+    /// Address of heartbeats, and of row sync over TCP.
+    pub peers: SocketAddr,
     readiness: SocketAddr,
     settings: PathBuf,
 }
@@ -42,7 +44,13 @@
             .stdout(Stdio::null())
             .spawn()
             .expect("test setup failed");
-        Daemon { child, callers, readiness, settings }
+        Daemon { child, callers, peers, readiness, settings }
+    }
+
+    /// Addresses on which the daemon accepts TCP connections.
+    pub fn addrs(&self) -> [SocketAddr; 4] {
+        let metrics = SocketAddr::new(self.callers.ip(), METRICS_PORT);
+        [self.callers, self.peers, self.readiness, metrics]
     }
 
     /// Waits until the daemon's readiness probe succeeds.
@@ -88,6 +96,24 @@
     }
 }
 
+/// Sends bytes over a new connection and waits a moment for the daemon to answer or close it.
+pub fn send_bytes(addr: SocketAddr, bytes: &[u8]) {
+    let mut stream = TcpStream::connect(addr).expect("the daemon accepts connections");
+    stream.set_read_timeout(Some(READY_POLL_INTERVAL)).expect("test setup failed");
+    stream.set_write_timeout(Some(READY_POLL_INTERVAL)).expect("test setup failed");
+    // The daemon may close the connection while it is written to or read from.
+    let _ = stream.write_all(bytes);
+    let _ = stream.read(&mut [0; 64]);
+}
+
+/// Sends a datagram of at most the size that fits into one.
+pub fn send_datagram(addr: SocketAddr, bytes: &[u8]) {
+    const MAX_BYTES: usize = 60_000;
+    let socket = UdpSocket::bind((addr.ip(), 0)).expect("test setup failed");
+    let bytes = &bytes[..bytes.len().min(MAX_BYTES)];
+    socket.send_to(bytes, addr).expect("test setup failed");
+}
+
 /// Sends an HTTP GET request and returns the complete response, or `None` on any error.
 fn get(addr: SocketAddr, path: &str) -> Option<String> {
     let mut stream = TcpStream::connect(addr).ok()?;
--- a/crates/entry/tests/support/mod.rs
+++ b/crates/entry/tests/support/mod.rs
@@ -1,7 +1,7 @@
 //! Starts the daemon process, a client and the stand-in of the users' platform.
 
 mod client;
-mod daemon;
+pub mod daemon;
 
 use base::Span;
 use standins::lines::{Options, Platform};
--- a/crates/standins/src/lines/platform.rs
+++ b/crates/standins/src/lines/platform.rs
@@ -141,6 +141,11 @@
         self.shared.store.state().faults.down = down;
     }
 
+    /// Writes a row with any content, as another writer of the store may.
+    pub fn put_row(&self, table: &str, key: &str, value: &[u8]) {
+        self.shared.store.put_bytes(table, key, Some(value));
+    }
+
     /// Number of a table's rows whose keys begin with `prefix`.
     pub fn count_rows(&self, table: &str, prefix: &str) -> usize {
         let state = self.shared.store.state();
--- a/crates/standins/src/store/service.rs
+++ b/crates/standins/src/store/service.rs
@@ -50,10 +50,16 @@
 
     /// Writes a row without conditions, as the operator or a member does; `None` deletes it.
     pub(crate) fn put(&self, table: &str, key: &str, value: Option<&Value>) {
+        let text = value.map(Value::to_string);
+        self.put_bytes(table, key, text.as_deref().map(str::as_bytes));
+    }
+
+    /// Writes a row with any content, or deletes it.
+    pub(crate) fn put_bytes(&self, table: &str, key: &str, value: Option<&[u8]>) {
         let place = (table.to_owned(), key.to_owned());
         let transaction = match value {
             Some(value) => StoreTransaction {
-                set: vec![(place, STANDARD.encode(value.to_string()))],
+                set: vec![(place, STANDARD.encode(value))],
                 ..StoreTransaction::default()
             },
             None => StoreTransaction { delete: vec![place], ..StoreTransaction::default() },
