Open connections only for requests that can start, and keep only as many as are useful

Change: while requests wait, a connection is opened only if it lets another request start; at most 2 x max_running + 1 are kept, 5 instead of 7 on large, others unchanged (more than kept before). Tests: a herd after a restart; reconnecting of 12 carriers beside their old connections.

--- a/crates/pool/src/member.rs
+++ b/crates/pool/src/member.rs
@@ -107,6 +107,12 @@
         max_running.saturating_sub(self.running).min(self.idle.len() as u32)
     }
 
+    /// Whether another connection would let another request start, besides those that the idle
+    /// connections and the ones being opened serve.
+    pub(crate) fn could_start_another(&self, max_running: u32) -> bool {
+        self.running + self.opening + (self.idle.len() as u32) < max_running
+    }
+
     /// Whether the member may get new requests.
     pub(crate) fn is_usable(&self, now: Time) -> bool {
         !self.spec.leaving && !self.health.is_ejected(now)
--- a/crates/pool/src/pool.rs
+++ b/crates/pool/src/pool.rs
@@ -381,13 +381,18 @@
         best.map(|(index, _)| index)
     }
 
-    /// Opens connections up to the number to keep, or up to the limit while requests wait
-    /// and none is idle, and closes spare ones.
+    /// Opens and closes connections. Without waiting requests, it opens as many as are to be kept.
+    /// While requests wait, it opens only connections that let another request start: each one
+    /// occupies one of the member's slots for a while, which the waiting requests need.
     fn adjust_connections(&mut self, now: Time, out: &mut Vec<Action>) {
         let requests_wait = self.scheduler.waiting() > 0;
-        let Shares { kept, max_open, .. } = self.shares;
+        let Shares { kept, max_open, max_running } = self.shares;
         for member in &mut self.members {
-            let wanted = if requests_wait && member.idle.is_empty() { max_open } else { kept };
+            let wanted = match requests_wait {
+                true if member.could_start_another(max_running) => max_open,
+                true => 0,
+                false => kept,
+            };
             while member.may_open(now, wanted) {
                 member.open += 1;
                 member.opening += 1;
--- a/crates/pool/src/shares.rs
+++ b/crates/pool/src/shares.rs
@@ -25,10 +25,13 @@
     pub fn new(connections: u32, slots: u32, daemons: u32) -> Shares {
         let daemons = daemons.max(1);
         let max_open = (connections.saturating_sub(RESERVED_CONNECTIONS) / daemons).max(1);
-        let kept = (connections * KEPT_PERCENT / 100 / daemons).clamp(1, max_open);
         // Twice the slots, over all daemons, keep a member busy with a short queue of its
         // own. One more for each daemon absorbs an uneven distribution of callers.
         let max_running = (2 * slots).div_ceil(daemons) + 1;
+        // As many again are idle in transactions; more would only be in the way when all VMs
+        // have lost power and reconnect.
+        let useful = 2 * max_running + 1;
+        let kept = (connections * KEPT_PERCENT / 100 / daemons).min(useful).clamp(1, max_open);
         Shares { kept, max_open, max_running }
     }
 }
--- a/crates/pool/src/tests.rs
+++ b/crates/pool/src/tests.rs
@@ -104,6 +104,17 @@
     }
 }
 
+/// All VMs of a large fleet have lost power and start again within a fraction of a second, while
+/// the members still hold every connection that the carriers kept. Each carrier must get as many
+/// as it keeps, so that none waits until the members drop the old ones.
+#[test]
+fn carriers_of_a_large_fleet_reconnect_in_full_beside_their_old_connections() {
+    let (connections, slots, carriers) = (140, 4, 12);
+    let shares = Shares::new(connections, slots, carriers);
+    assert!(2 * shares.kept * carriers <= connections, "{shares:?}");
+    assert!(shares.kept >= 2 * shares.max_running, "{shares:?}");
+}
+
 #[test]
 fn a_daemon_without_a_share_opens_no_connections() {
     let mut fixture = Fixture::new(Shares::NONE);
@@ -131,6 +142,39 @@
     assert!(closed.iter().any(|action| matches!(action, Action::Close { .. })), "{closed:?}");
 }
 
+/// All callers come back at once after a restart, with many more requests than can run. The
+/// members' slots must not be spent on connections that let nothing start.
+#[test]
+fn no_connection_is_opened_beyond_those_that_let_requests_start() {
+    let shares = Shares { kept: 5, max_open: 11, max_running: 2 };
+    let mut fixture = Fixture::new(shares);
+    for req in 1..=20 {
+        fixture.enqueue(req, Requirement::Primary, Rank::Submission).expect("queued");
+    }
+    let started = |actions: &[Action]| started(actions).len();
+    let numbered_from = fixture.next;
+    let (mut running, mut opened) = (0, 0);
+    for _ in 0..20 {
+        let actions = fixture.advance();
+        running += started(&actions);
+        for action in actions {
+            let Action::Open { member } = action else { continue };
+            if member == MemberId::new("p") {
+                opened += 1;
+            }
+            fixture.next += 1;
+            fixture.pool.opened(fixture.now, &member, fixture.next);
+        }
+    }
+    assert_eq!((running, opened), (2, 2));
+    // Without waiting requests, the connections to keep are opened.
+    for req in 1..=20 {
+        fixture.pool.cancel(req);
+    }
+    fixture.open_all();
+    assert_eq!(fixture.next - numbered_from, 3 * 5);
+}
+
 #[test]
 fn reads_prefer_replicas_and_fall_back_to_the_primary() {
     let mut fixture = Fixture::new(Shares { kept: 2, max_open: 2, max_running: 2 });
