Relays leave a dark carrier after 450 ms; writes under way are awaited for 1.3 s

Carriers had lost power: each takes a twelfth of the sessions, and relays noticed after 0.9 to 1.4 s (heartbeats 500 ms apart, 900 ms of silence), longer than most targets and deadlines. Opening a session at a carrier is limited to 400 ms.

--- a/crates/entry/src/control/task.rs
+++ b/crates/entry/src/control/task.rs
@@ -37,8 +37,9 @@
 const TICK_INTERVAL: Duration = Duration::from_millis(50);
 /// Interval between heartbeats of a carrier: several within the duration of a grant.
 const HEARTBEAT_INTERVAL: Span = Span::from_millis(250);
-/// Interval at which a daemon that is no carrier sends heartbeats to carriers.
-const CARRIER_POLL_INTERVAL: Span = Span::from_millis(500);
+/// Interval at which a daemon that is no carrier sends heartbeats to carriers: with it, a carrier
+/// that has lost power is noticed within the time limit of most statements.
+const CARRIER_POLL_INTERVAL: Span = Span::from_millis(250);
 /// Minimum interval between polls of the store while the other carriers' answers do not
 /// suffice, between attempts to register as a carrier, and between row syncs.
 const STORE_POLL_INTERVAL: Span = Span::from_millis(400);
--- a/crates/entry/src/control/task/carrier_role.rs
+++ b/crates/entry/src/control/task/carrier_role.rs
@@ -218,12 +218,17 @@
     }
 
     pub(super) fn send_carriers(&mut self, now: Time) {
-        let mut preferred = self.carrier_directory.session_addrs(now, &self.settings.zone);
-        let mut answering = self.carrier_directory.answering_addrs(now);
-        preferred.sort_unstable();
-        answering.sort_unstable();
+        let sorted = |mut addrs: Vec<SocketAddr>| {
+            addrs.sort_unstable();
+            addrs
+        };
         let current = self.operator_followed.1 && self.members_followed.1;
-        let choice = CarrierChoice { is_carrier: self.carries && current, preferred, answering };
+        let choice = CarrierChoice {
+            is_carrier: self.carries && current,
+            preferred: sorted(self.carrier_directory.session_addrs(now, &self.settings.zone)),
+            answering: sorted(self.carrier_directory.answering_addrs(now)),
+            live: sorted(self.carrier_directory.live_addrs(now)),
+        };
         if self.sent_carriers.as_ref() != Some(&choice) {
             self.sent_carriers = Some(choice.clone());
             self.send_order(Order::Carriers(choice));
--- a/crates/entry/src/data/context.rs
+++ b/crates/entry/src/data/context.rs
@@ -111,9 +111,12 @@
         self.carriers.borrow().preferred.contains(&sessions)
     }
 
-    /// Whether the carrier with this session address still answers.
-    pub(crate) fn is_carrier_answering(&self, sessions: SocketAddr) -> bool {
-        self.carriers.borrow().answering.contains(&sessions)
+    /// Whether the answer of the carrier with this session address is still awaited. A statement
+    /// that can be repeated at another carrier is not left with a silent one for long.
+    pub(crate) fn awaits_carrier(&self, sessions: SocketAddr, repeatable: bool) -> bool {
+        let carriers = self.carriers.borrow();
+        let awaited = if repeatable { &carriers.answering } else { &carriers.live };
+        awaited.contains(&sessions)
     }
 
     /// Whether sessions can be served, directly or through a carrier.
--- a/crates/entry/src/data/relay.rs
+++ b/crates/entry/src/data/relay.rs
@@ -23,7 +23,9 @@
 /// Maximum number of carriers tried for one statement or for the start of a session.
 const MAX_ATTEMPTS: u32 = 3;
 /// How often a wait for an answer checks whether the carrier is still available.
-const CARRIER_CHECK_INTERVAL: Duration = Duration::from_millis(200);
+const CARRIER_CHECK_INTERVAL: Duration = Duration::from_millis(100);
+/// Time limit for opening a session at a carrier, most of which are in the same zone.
+const OPEN_TIMEOUT: Duration = Duration::from_millis(400);
 
 /// A session's connection to a carrier, with the carrier's session address.
 #[derive(Debug, Default)]
@@ -110,7 +112,7 @@
             }
             Transaction::Relayed { wrote } => wrote,
         };
-        match self.run_on_carrier(id, None, own::COMMIT).await {
+        match self.run_on_carrier(id, None, own::COMMIT, false).await {
             Ok(answer) => {
                 if wrote && answer.result.is_ok() {
                     self.last_write = self.last_write.max(answer.position.unwrap_or_default());
@@ -157,7 +159,7 @@
                 }
                 return self.fail(id, Code::Busy, &error.to_string()).await;
             }
-            match self.run_on_carrier(id, after, text).await {
+            match self.run_on_carrier(id, after, text, reads).await {
                 // This carrier holds no grant to use the primary; another one may.
                 Ok(answer) if no_grant(&answer) && attempts < MAX_ATTEMPTS => self.drop_carrier(),
                 Ok(answer) => {
@@ -183,7 +185,7 @@
     async fn relay_next(&mut self, id: &str, text: &str) -> Result<(), WireError> {
         self.cx.shared.count(Counter::Statements);
         let received_at = clock::now();
-        match self.run_on_carrier(id, None, text).await {
+        match self.run_on_carrier(id, None, text, false).await {
             Ok(answer) => {
                 if answer.state != TransactionState::Open {
                     self.tx = Transaction::Failed;
@@ -262,15 +264,10 @@
         let Some(sessions) = chosen else { return Err(MemberError::Silent) };
         let number = self.cx.number();
         let client = self.cx.vm.clone();
-        let opened = MemberConn::open(
-            number,
-            sessions,
-            &self.database,
-            &client,
-            &MemberId::new(own::STATEMENT_ID),
-        )
-        .await;
-        match opened {
+        let member = MemberId::new(own::STATEMENT_ID);
+        let open = MemberConn::open(number, sessions, &self.database, &client, &member);
+        let opened = time::timeout(OPEN_TIMEOUT, open).await;
+        match opened.unwrap_or(Err(MemberError::Silent)) {
             Ok((conn, _)) => {
                 self.relay.conn = Some((conn, sessions));
                 Ok(())
@@ -290,13 +287,15 @@
         }
     }
 
-    /// Sends a statement and waits for its answer while the carrier is available. The carrier
-    /// enforces the route's statement timeout.
+    /// Sends a statement and waits for its answer while the carrier answers heartbeats; if the
+    /// statement is repeatable, only while it does so without delay. The carrier enforces the
+    /// route's statement timeout.
     async fn run_on_carrier(
         &mut self,
         id: &str,
         after: Option<Position>,
         text: &str,
+        repeatable: bool,
     ) -> Result<Answer, MemberError> {
         let cx = std::rc::Rc::clone(&self.cx);
         let Some((conn, sessions)) = &mut self.relay.conn else { return Err(MemberError::Silent) };
@@ -306,7 +305,7 @@
             conn.read_answer().await
         };
         let gone = async {
-            while cx.is_carrier_answering(*sessions) {
+            while cx.awaits_carrier(*sessions, repeatable) {
                 time::sleep(CARRIER_CHECK_INTERVAL).await;
             }
         };
--- a/crates/entry/src/messages.rs
+++ b/crates/entry/src/messages.rs
@@ -35,8 +35,12 @@
     pub(crate) is_carrier: bool,
     /// Session addresses of the carriers to choose from if it does not.
     pub(crate) preferred: Vec<SocketAddr>,
-    /// Session addresses of all carriers that answer, whose answers are still awaited.
+    /// Session addresses of all carriers that answer without delay: their answers to reads are
+    /// still awaited.
     pub(crate) answering: Vec<SocketAddr>,
+    /// Session addresses of all carriers that are not lost: their answers to writes and in
+    /// transactions are still awaited.
+    pub(crate) live: Vec<SocketAddr>,
 }
 
 /// Message from the data thread to the control thread.
--- a/crates/succession/src/carrier_directory.rs
+++ b/crates/succession/src/carrier_directory.rs
@@ -10,9 +10,13 @@
 /// Minimum and maximum number of carriers. With fewer, the loss of one would be noticeable;
 /// with more, a failover would have to wait for many.
 const CARRIER_COUNT: (u32, u32) = (8, 12);
-/// How long a heartbeat may go unanswered before its carrier gets no new sessions: two further
-/// heartbeats.
-const SILENT_AFTER: Span = Span::from_millis(900);
+/// How long a heartbeat may go unanswered before its carrier gets no new sessions, statements
+/// go elsewhere and reads are repeated elsewhere: short of the targets of most callers, and long
+/// compared with the pauses of a VM that has used up its share of a core.
+const SILENT_AFTER: Span = Span::from_millis(450);
+/// How long a heartbeat may go unanswered before writes and transactions at its carrier are given
+/// up. They cannot be repeated, so a carrier that was only slow gets the time to answer.
+const LOST_AFTER: Span = Span::from_millis(1_300);
 /// How long a heartbeat may go unanswered before the carrier is doubted. The carriers of the
 /// other availability zones are then asked as well, so that it is known which of them answer by
 /// the time that sessions have to move.
@@ -140,10 +144,20 @@
         if answering.is_empty() { all().map(sessions).collect() } else { answering }
     }
 
-    /// Session addresses of all carriers that answer. A statement that has been sent to one of
-    /// them may still be answered, even if new sessions go elsewhere.
+    /// Session addresses of all carriers that answer without delay. A read that has been sent to
+    /// one of them is still awaited, even if new sessions go elsewhere.
     pub fn answering_addrs(&self, now: Time) -> Vec<SocketAddr> {
-        let answering = self.carriers.values().filter(|it| it.answers(now, SILENT_AFTER));
+        self.addrs_within(now, SILENT_AFTER)
+    }
+
+    /// Session addresses of all carriers that are not lost. A write that has been sent to one of
+    /// them, or a transaction that is open there, is still awaited.
+    pub fn live_addrs(&self, now: Time) -> Vec<SocketAddr> {
+        self.addrs_within(now, LOST_AFTER)
+    }
+
+    fn addrs_within(&self, now: Time, limit: Span) -> Vec<SocketAddr> {
+        let answering = self.carriers.values().filter(|it| it.answers(now, limit));
         answering.map(|carrier| carrier.record.sessions).collect()
     }
 }
--- a/crates/succession/tests/carriers.rs
+++ b/crates/succession/tests/carriers.rs
@@ -116,6 +116,26 @@
     assert_eq!(ports(&carriers, start), [11]);
 }
 
+/// A carrier loses power, with a twelfth of the fleet's sessions on it.
+#[test]
+fn a_dark_carrier_is_left_at_once_but_its_writes_are_given_up_late() {
+    let records = [record("1", "a", 10), record("2", "a", 20)];
+    let start = Time::from_micros(1_000_000);
+    let at = |millis| start + Span::from_millis(millis);
+    let mut carriers = CarrierDirectory::default();
+    carriers.set(start, records.iter());
+    for millis in (0..=1_250).step_by(250) {
+        carriers.ask(at(millis), "a");
+        carriers.record_answer(at(millis + 1), "2", true);
+    }
+    let ports = |addrs: Vec<SocketAddr>| addrs.iter().map(SocketAddr::port).collect::<Vec<_>>();
+    assert_eq!(carriers.session_addrs(at(440), "a").len(), 2);
+    assert_eq!(ports(carriers.session_addrs(at(450), "a")), [21]);
+    assert_eq!(ports(carriers.answering_addrs(at(450))), [21], "its reads are repeated");
+    assert_eq!(carriers.live_addrs(at(1_290)).len(), 2, "its writes are awaited");
+    assert_eq!(ports(carriers.live_addrs(at(1_300))), [21]);
+}
+
 /// One broken session must not end the statements of all others with the same carrier.
 #[test]
 fn a_carrier_with_a_failed_session_still_answers() {
