--- a/crates/entry/src/control/feeds.rs
+++ b/crates/entry/src/control/feeds.rs
@@ -131,6 +131,10 @@
             }
             if after.is_some() {
                 time::sleep(if feed == Feed::Slow { SLOW_FEED_PAUSE } else { FEED_PAUSE }).await;
+                // Carriers may have answered during the pause.
+                if self.feed() != feed {
+                    continue;
+                }
             }
             let wait = if feed == Feed::Slow { SLOW_FEED_TIMEOUT } else { FEED_TIMEOUT };
             let asked_at = clock::now();
