--- a/crates/e2e/tests/at_most_once.rs
+++ b/crates/e2e/tests/at_most_once.rs
@@ -112,8 +112,8 @@
 #[tokio::test]
 async fn a_submission_that_ran_is_not_reported_as_not_run_when_its_retry_is_refused() {
     for daemon in 1..=3 {
-        let mut options = Options::default();
-        options.table = Some(TestEnv::table_with_rate_limit("orders", "pedidos"));
+        let table = Some(TestEnv::table_with_rate_limit("orders", "pedidos"));
+        let mut options = Options { table, ..Options::default() };
         options.timing.wait_ms = 400;
         let env = TestEnv::start(&options);
         let setup = env.caller(daemon, "clerk", "pedidos").await;
