Log and measure how old a copy of the configuration is, and standstills of the process

The logs did not say which configuration a refusal followed from, how old that copy was, which carrier had refused, or that a process had not run, so that three hypotheses could be told apart only by what was missing from them.

Every copy of the operator's and the members' table now carries the latest moment at which it is known to have been complete (succession::CopyLease): the time at which the store, or a carrier with the same rows, was asked, once it has answered. Refusals log the version, this age and the carrier; 'resumed' says that the process stood still; metrics show version, age and standstills. PrimaryGrant shares the part that counts the other carriers' answers (PeerAnswers).

--- a/crates/entry/src/control/heartbeat.rs
+++ b/crates/entry/src/control/heartbeat.rs
@@ -1,4 +1,5 @@
-use succession::PrimaryHealth;
+use base::Span;
+use succession::{Copied, PeerCopies, PrimaryHealth};
 
 /// Heartbeat between daemons, sent as one UDP datagram.
 #[derive(Clone, Debug)]
@@ -30,6 +31,10 @@
     /// Versions of the newest rows that the sender knows in the operator's table, the
     /// members' table and the state table.
     pub(crate) newest: [u64; 3],
+    /// How long ago the store last confirmed the sender's copies of the operator's and the
+    /// members' table, in milliseconds; `None` if never, or if its version does not send this.
+    #[serde(default)]
+    pub(crate) copy_ages_ms: [Option<u64>; 2],
     /// Version of the newest row of a carrier slot that the sender knows. A daemon that is no
     /// carrier fetches the rows from the sender if it knows only older ones.
     #[serde(default)]
@@ -38,6 +43,17 @@
     pub(crate) opinions: Vec<(String, String, PrimaryHealth)>,
 }
 
+impl Heartbeat {
+    /// The sender's copies of the tables by which daemons refuse and route requests.
+    pub(crate) fn copies(&self) -> PeerCopies {
+        let copies = |table: Copied| {
+            let age = self.copy_ages_ms[table as usize];
+            (self.newest[table as usize], age.map(Span::from_millis))
+        };
+        Copied::ALL.map(copies)
+    }
+}
+
 /// Daemons of versions that do not send this accept sessions.
 fn accepts_by_default() -> bool {
     true
--- a/crates/entry/src/control/peers/tests.rs
+++ b/crates/entry/src/control/peers/tests.rs
@@ -18,6 +18,7 @@
         echo_run: 0,
         version: 1,
         newest: [0; 3],
+        copy_ages_ms: [None; 2],
         accepts_sessions: true,
         carriers_version: 0,
         opinions: Vec::new(),
--- a/crates/entry/src/control/task.rs
+++ b/crates/entry/src/control/task.rs
@@ -7,7 +7,9 @@
 use base::{FastMap, MemberId, Span, Time};
 use futures_channel::mpsc;
 use futures_util::StreamExt;
-use succession::{Candidate, CarrierDirectory, FollowedTables, PrimaryGrant, PrimaryHealth};
+use succession::{
+    Candidate, CarrierDirectory, CopyLease, FollowedTables, PrimaryGrant, PrimaryHealth,
+};
 use tokio::{
     net::{TcpListener, UdpSocket},
     sync::watch,
@@ -28,7 +30,7 @@
         tables::TableCache,
     },
     messages::{CarrierChoice, Order, Report},
-    shared::Shared,
+    shared::{Counter, Shared},
 };
 
 mod carrier_role;
@@ -47,6 +49,9 @@
 const STORE_POLL_INTERVAL: Span = Span::from_millis(400);
 /// Age up to which this daemon's own observation of a primary's health counts.
 const HEALTH_MAX_AGE: Span = Span::from_millis(500);
+/// Time between two ticks from which on this process counts as having stood still: several
+/// missed heartbeats, and more than a VM waits that has used up its share of a core.
+const MIN_STANDSTILL: Span = Span::from_millis(1_000);
 /// Size of the receive buffer. Heartbeats are far smaller.
 const MAX_DATAGRAM_BYTES: usize = 16 * 1024;
 
@@ -65,6 +70,7 @@
     tables: TableCache,
     coordination: CoordinationState,
     grant: PrimaryGrant,
+    copies: CopyLease,
     peers: Peers,
     coordinator: FailoverCoordinator,
     config: Option<Arc<Config>>,
@@ -75,6 +81,8 @@
     applied_version: u64,
     /// Health of each group's primary as the data thread last observed it.
     opinions: FastMap<String, (MemberId, PrimaryHealth, Time)>,
+    /// Time of the last tick, or of the start.
+    last_tick: Time,
     last_heartbeat: Option<Time>,
     last_store_poll: Option<Time>,
     /// When this daemon last tried to register as a carrier.
@@ -198,6 +206,7 @@
             tables: TableCache::default(),
             coordination: CoordinationState::default(),
             grant: PrimaryGrant::default(),
+            copies: CopyLease::default(),
             peers: Peers::default(),
             coordinator,
             config: None,
@@ -206,6 +215,7 @@
             pending_orders: PendingOrders::default(),
             applied_version: 0,
             opinions: FastMap::default(),
+            last_tick: clock::now(),
             last_heartbeat: None,
             last_store_poll: None,
             last_registration: None,
@@ -245,6 +255,9 @@
                     _ => {}
                 }
                 self.apply_rows(table, rows, complete);
+                if let Some(copied) = rows::copied(table) {
+                    self.copies.store_answered(copied, asked_at);
+                }
                 if table == STATE_TABLE {
                     self.update_followed_tables(clock::now());
                     self.grant.store_answered(asked_at, self.coordination.version);
@@ -290,6 +303,7 @@
 
     fn tick(&mut self) {
         let now = clock::now();
+        self.detect_standstill(now);
         self.expire_members(now);
         let interval = if self.carries { HEARTBEAT_INTERVAL } else { CARRIER_POLL_INTERVAL };
         if self.last_heartbeat.is_none_or(|at| now.since(at) >= interval) {
@@ -303,6 +317,22 @@
         self.steer(now);
     }
 
+    /// Notices that this process did not run for a while: its VM was suspended, or had no
+    /// processor time.
+    fn detect_standstill(&mut self, now: Time) {
+        let stood_still = now.since(self.last_tick);
+        self.last_tick = now;
+        if stood_still < MIN_STANDSTILL {
+            return;
+        }
+        self.shared.count(Counter::Standstills);
+        logs::event(
+            "resumed",
+            &serde_json::json!({"stood_still_ms": stood_still.as_millis(),
+                "config": self.config.as_ref().map(|config| config.version)}),
+        );
+    }
+
     fn steer(&mut self, now: Time) {
         if !self.carries {
             return;
--- a/crates/entry/src/control/task/carrier_role.rs
+++ b/crates/entry/src/control/task/carrier_role.rs
@@ -4,7 +4,7 @@
 
 use adapter::{CallError, StoreKey, StoreTransaction};
 use base::{Span, Time};
-use succession::{CarrierRecord, CarrierSlots, Feed, FollowedTables, FollowerView};
+use succession::{CarrierRecord, CarrierSlots, Copied, Feed, FollowedTables, FollowerView};
 
 use super::{Control, STORE_POLL_INTERVAL};
 use crate::{
@@ -158,6 +158,7 @@
     pub(super) fn update_grant(&self) {
         let until = if self.carries { self.grant.expires_at() } else { Time::default() };
         self.shared.set_grant_expiry(until);
+        self.shared.set_config_confirmed_at(self.copies.confirmed_at(Copied::Config));
         self.shared.set_peers_suffice(self.grant.peers_suffice(clock::now(), Span::ZERO));
     }
 
--- a/crates/entry/src/control/task/heartbeats.rs
+++ b/crates/entry/src/control/task/heartbeats.rs
@@ -5,7 +5,7 @@
 
 use adapter::{MEMBERS_TABLE, OPERATOR_TABLE};
 use base::{Span, Time};
-use succession::PrimaryHealth;
+use succession::{Copied, PrimaryHealth};
 
 use super::{Control, HEALTH_MAX_AGE, STORE_POLL_INTERVAL};
 use crate::{
@@ -86,6 +86,7 @@
             version: self.applied_version,
             carriers_version: self.coordination.carriers_version,
             newest: self.newest_rows(),
+            copy_ages_ms: Copied::ALL.map(|table| self.copy_age(table).map(Span::as_millis)),
             opinions: opinions.to_vec(),
         }
     }
@@ -99,6 +100,9 @@
             let _ = self.socket.try_send_to(&encode(&answer), from);
         }
         let asked_at = self.peers.receive(now, self.run, heartbeat);
+        if heartbeat.carries {
+            self.copies.peer_answered(now, &heartbeat.from, asked_at, heartbeat.copies());
+        }
         if let Some(asked_at) = asked_at {
             self.grant.peer_answered(&heartbeat.from, asked_at, heartbeat.version);
         }
@@ -156,6 +160,11 @@
         [OPERATOR_TABLE, MEMBERS_TABLE, STATE_TABLE].map(|table| self.tables.newest(table))
     }
 
+    /// How long ago a copy was last known to be complete; `None` if it never was.
+    fn copy_age(&self, table: Copied) -> Option<Span> {
+        self.copies.confirmed_at(table).map(|at| clock::now().since(at))
+    }
+
     /// Whether a daemon that leaves the configuration to carriers should fetch it, to know the
     /// number of carrier slots. Daemons that start together do so at different times.
     fn wants_config(&self, now: Time) -> bool {
--- a/crates/entry/src/control/task/rows.rs
+++ b/crates/entry/src/control/task/rows.rs
@@ -7,6 +7,7 @@
 };
 use base::{FastMap, MemberId, Span, Time};
 use pool::{MemberSpec, Shares};
+use succession::Copied;
 
 use super::{Control, Member};
 use crate::{
@@ -43,6 +44,9 @@
         if !updates.is_empty() {
             self.behind_since = None;
         }
+        if let Some(copied) = copied(table) {
+            self.copies.rows_applied(copied, self.tables.newest(table));
+        }
         match table {
             OPERATOR_TABLE => self.apply_config(&updates),
             MEMBERS_TABLE => {
@@ -71,6 +75,7 @@
             "configuration in force",
             &serde_json::json!({"version": config.version, "routes": config.routes.len()}),
         );
+        self.shared.set_config_version(config.version);
         let config = Arc::new(config);
         self.config = Some(Arc::clone(&config));
         self.send_order(Order::Config(config));
@@ -187,6 +192,7 @@
         let others = records.clone().filter(|record| record.vm != own);
         self.peers.set_peers(others.map(|record| (record.vm.clone(), record.addr)));
         self.grant.set_peers(self.peers.peers.keys().map(String::as_str));
+        self.copies.set_peers(self.peers.peers.keys().map(String::as_str));
         self.carrier_directory.set(clock::now(), records);
         let carries = self.coordination.carrier(own).is_some();
         if carries != self.carries {
@@ -208,3 +214,13 @@
         }
     }
 }
+
+/// The copy that a table of the store is kept in; `None` for the state table, whose rows are
+/// relied on only under a grant.
+pub(super) fn copied(table: &str) -> Option<Copied> {
+    match table {
+        OPERATOR_TABLE => Some(Copied::Config),
+        MEMBERS_TABLE => Some(Copied::Members),
+        _ => None,
+    }
+}
--- a/crates/entry/src/data/context.rs
+++ b/crates/entry/src/data/context.rs
@@ -13,6 +13,7 @@
 use futures_util::{FutureExt, future::Shared as SharedFuture};
 
 use crate::{
+    clock,
     control::Event,
     data::{group::Group, names::StatementNumbers},
     messages::CarrierChoice,
@@ -137,6 +138,18 @@
         Some((route.clone(), config.version))
     }
 
+    /// Version of the configuration; `None` before the first one.
+    pub(crate) fn config_version(&self) -> Option<u64> {
+        self.config.borrow().as_ref().map(|config| config.version)
+    }
+
+    /// How long ago the configuration was last known to be the newest one, in milliseconds;
+    /// `None` if it never was.
+    pub(crate) fn config_age_ms(&self) -> Option<u64> {
+        let confirmed_at = self.shared.config_confirmed_at()?;
+        Some(clock::now().since(confirmed_at).as_millis())
+    }
+
     /// The connection pool of a group, created at the first use.
     pub(crate) fn group(self: &Rc<Context>, name: &str) -> Rc<Group> {
         if let Some(group) = self.groups.borrow().get(name) {
--- a/crates/entry/src/data/relay.rs
+++ b/crates/entry/src/data/relay.rs
@@ -31,9 +31,16 @@
 #[derive(Debug, Default)]
 pub(crate) struct Relay {
     conn: Option<(MemberConn, SocketAddr)>,
+    /// The carrier that was last asked to open a session, for the log.
+    last_carrier: Option<SocketAddr>,
 }
 
 impl Relay {
+    /// Session address of the carrier that was last asked to open a session.
+    pub(crate) fn carrier(&self) -> Option<SocketAddr> {
+        self.last_carrier
+    }
+
     /// Closes the connection, which rolls back an open transaction.
     pub(crate) fn close(&mut self) {
         self.conn = None;
@@ -262,6 +269,7 @@
         self.relay.close();
         let chosen = self.cx.carriers.borrow().preferred.choose(&mut rand::rng()).copied();
         let Some(sessions) = chosen else { return Err(MemberError::Silent) };
+        self.relay.last_carrier = Some(sessions);
         let number = self.cx.number();
         let client = self.cx.vm.clone();
         let member = MemberId::new(own::STATEMENT_ID);
--- a/crates/entry/src/data/session.rs
+++ b/crates/entry/src/data/session.rs
@@ -144,7 +144,9 @@
     async fn reject(&mut self, code: Code, text: &str) -> Result<(), WireError> {
         logs::event(
             "session refused",
-            &serde_json::json!({"database": self.database, "code": code.as_str(), "reason": text}),
+            &serde_json::json!({"database": self.database, "code": code.as_str(), "reason": text,
+                "carrier": self.relay.carrier().filter(|_| self.relayed),
+                "config": self.cx.config_version(), "config_age_ms": self.cx.config_age_ms()}),
         );
         self.reply(|buf| write::error(buf, code, text)).await?;
         self.conn.shutdown().await;
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -13,6 +13,9 @@
 #[derive(Debug)]
 pub(crate) struct Shared {
     grant_expiry: AtomicU64,
+    config_version: AtomicU64,
+    /// In microseconds; 0 if the store has never confirmed the configuration.
+    config_confirmed_at: AtomicU64,
     ready: AtomicBool,
     peers_suffice: AtomicBool,
     counters: [AtomicU64; Counter::COUNT],
@@ -33,10 +36,12 @@
     MemberConnections,
     StoreCalls,
     StoreFailures,
+    /// Times that this process did not run for a while.
+    Standstills,
 }
 
 impl Counter {
-    const ALL: [(Counter, &str); 11] = [
+    const ALL: [(Counter, &str); 12] = [
         (Counter::Sessions, "sessions"),
         (Counter::Statements, "statements"),
         (Counter::Refused, "refused"),
@@ -48,6 +53,7 @@
         (Counter::MemberConnections, "member_connections"),
         (Counter::StoreCalls, "store_calls"),
         (Counter::StoreFailures, "store_failures"),
+        (Counter::Standstills, "standstills"),
     ];
     const COUNT: usize = Counter::ALL.len();
 }
@@ -57,6 +63,8 @@
         let latency = Histogram::new_with_max(MAX_LATENCY_US, 2);
         Shared {
             grant_expiry: AtomicU64::new(0),
+            config_version: AtomicU64::new(0),
+            config_confirmed_at: AtomicU64::new(0),
             ready: AtomicBool::new(false),
             peers_suffice: AtomicBool::new(false),
             counters: Default::default(),
@@ -73,6 +81,25 @@
         self.grant_expiry.store(expiry.as_micros(), Ordering::Release);
     }
 
+    /// Latest moment at which the configuration is known to have been the newest one; `None` if
+    /// there was none.
+    pub(crate) fn config_confirmed_at(&self) -> Option<Time> {
+        match self.config_confirmed_at.load(Ordering::Acquire) {
+            0 => None,
+            micros => Some(Time::from_micros(micros)),
+        }
+    }
+
+    pub(crate) fn set_config_confirmed_at(&self, at: Option<Time>) {
+        let micros = at.map_or(0, Time::as_micros);
+        self.config_confirmed_at.store(micros, Ordering::Release);
+    }
+
+    /// Records the version of the configuration in force, for the metrics.
+    pub(crate) fn set_config_version(&self, version: u64) {
+        self.config_version.store(version, Ordering::Relaxed);
+    }
+
     /// Whether the readiness probe reports ready, so that the platform sends callers here.
     pub(crate) fn is_ready(&self) -> bool {
         self.ready.load(Ordering::Relaxed)
@@ -104,6 +131,12 @@
         let mut text = String::new();
         let grant_left = self.grant_expiry().since(now).as_millis();
         text.push_str(&format!("corianderwharf_grant_left_ms {grant_left}\n"));
+        let version = self.config_version.load(Ordering::Relaxed);
+        text.push_str(&format!("corianderwharf_config_version {version}\n"));
+        if let Some(at) = self.config_confirmed_at() {
+            let age = now.since(at).as_millis();
+            text.push_str(&format!("corianderwharf_config_age_ms {age}\n"));
+        }
         let suffice = u8::from(self.peers_suffice.load(Ordering::Relaxed));
         text.push_str(&format!("corianderwharf_grant_without_store {suffice}\n"));
         for (counter, name) in Counter::ALL {
--- a/crates/succession/src/grants.rs
+++ b/crates/succession/src/grants.rs
@@ -1,4 +1,6 @@
-use base::{FastMap, Span, Time};
+use base::{Span, Time};
+
+use crate::peer_answers::PeerAnswers;
 
 /// How long a daemon may use the primaries it knows after the last evidence that no
 /// failover is in progress. A failover waits this long for a daemon that cannot be reached.
@@ -36,19 +38,14 @@
     version: u64,
     /// When the last query was sent to which the store had nothing newer.
     store_at: Option<Time>,
-    /// When the last question was sent to which each peer reported no newer rows.
-    peers: FastMap<String, Option<Time>>,
+    /// Questions to which the other carriers reported no newer rows.
+    peers: PeerAnswers,
 }
 
 impl PrimaryGrant {
     /// Replaces the set of the other carriers; the evidence of those that remain is kept.
     pub fn set_peers<'a>(&mut self, names: impl Iterator<Item = &'a str>) {
-        let mut peers = FastMap::default();
-        for name in names {
-            let known = self.peers.get(name).copied().flatten();
-            peers.insert(name.to_owned(), known);
-        }
-        self.peers = peers;
+        self.peers.set_peers(names);
     }
 
     /// Records the version of the rows that this daemon has applied.
@@ -68,39 +65,27 @@
         if version > self.version {
             return;
         }
-        if let Some(known) = self.peers.get_mut(name) {
-            *known = (*known).max(Some(asked_at));
-        }
+        self.peers.record(name, asked_at);
     }
 
     /// Time until which primaries may be used. It is in the past if there is no grant.
     pub fn expires_at(&self) -> Time {
         let Some(store_at) = self.store_at else { return Time::default() };
-        let by_peers =
-            self.majority_at().map(|at| (at + GRANT_DURATION).min(store_at + GRANT_WITHOUT_STORE));
+        let by_peers = self
+            .peers
+            .majority_at()
+            .map(|at| (at + GRANT_DURATION).min(store_at + GRANT_WITHOUT_STORE));
         (store_at + GRANT_DURATION).max(by_peers.unwrap_or_default())
     }
 
     /// Whether the answers of the other carriers alone keep the grant valid for more than
     /// `margin` from now on.
     pub fn peers_suffice(&self, now: Time, margin: Span) -> bool {
-        let (Some(store_at), Some(at)) = (self.store_at, self.majority_at()) else { return false };
+        let (Some(store_at), Some(at)) = (self.store_at, self.peers.majority_at()) else {
+            return false;
+        };
         (at + GRANT_DURATION).min(store_at + GRANT_WITHOUT_STORE) > now + margin
     }
-
-    /// Latest time for which a majority, this carrier included, has answered a question that
-    /// was asked then or later. `None` if too few have ever answered.
-    fn majority_at(&self) -> Option<Time> {
-        let mut times: Vec<_> = self.peers.values().copied().flatten().collect();
-        times.sort_unstable_by(|one, other| other.cmp(one));
-        // A single carrier has no peers to ask: only the store can extend its grant.
-        let needed = majority(self.peers.len() + 1) - 1;
-        times.get(needed.checked_sub(1)?).copied()
-    }
-}
-
-fn majority(count: usize) -> usize {
-    count / 2 + 1
 }
 
 /// State of a carrier as the holder of the failover lease knows it. It is a carrier on the
--- a/crates/succession/src/lib.rs
+++ b/crates/succession/src/lib.rs
@@ -8,14 +8,17 @@
 
 mod assessment;
 mod carrier_directory;
+mod copy_lease;
 mod failover;
 mod followed_tables;
 mod grants;
+mod peer_answers;
 mod records;
 
 pub use crate::{
     assessment::{Assessment, PrimaryHealth, assess},
     carrier_directory::{CarrierDirectory, CarrierSlots},
+    copy_lease::{COPY_WITHOUT_STORE, Copied, CopyLease, PeerCopies},
     failover::{Action, Candidate, CandidateStatus, Failover, FailoverView, PromotionOutcome},
     followed_tables::{Feed, FollowedTables, FollowerView},
     grants::{
