Failing tests: a database is denied by an outdated configuration (known red)

One carrier is suspended, a database is added, the other carrier serves it for 3 s, the store goes silent, the first goes on: it answers ERROR NODB. Its kin: a daemon that has had no answer of the store for 3 s denies a database as well.

--- a/crates/entry/tests/platform.rs
+++ b/crates/entry/tests/platform.rs
@@ -226,6 +226,60 @@
     assert!(daemon.wait());
 }
 
+/// The store is silent when the carrier goes on, so that only another carrier can tell it of the
+/// new database.
+#[test]
+fn a_carrier_that_stood_still_denies_no_database_added_meanwhile() {
+    let platform = start_platform();
+    let one = Daemon::start("d1", "127.0.1.12", 0.25, platform.addr);
+    let two = Daemon::start("d2", "127.0.1.13", 0.25, platform.addr);
+    for daemon in [&one, &two] {
+        daemon.wait_ready();
+        wait_for_writes(daemon);
+    }
+    eventually(Duration::from_secs(3), "answers of each other", || {
+        one.is_granted_without_store() && two.is_granted_without_store()
+    });
+    one.suspend();
+    platform.configure(&databases(&["orders", "lookups", "added"]));
+    let configured = Instant::now();
+    eventually(
+        2 * CONFIG_TIMEOUT,
+        "the configuration at the other daemon, and its time limit",
+        || Client::connect(two.callers, "added").is_ok() && configured.elapsed() > CONFIG_TIMEOUT,
+    );
+    platform.set_store_down(true);
+    let callers = one.callers;
+    let caller = thread::spawn(move || Client::connect(callers, "added").err());
+    one.resume();
+    let answer = caller.join().expect("the caller ends");
+    let denied = answer.as_ref().is_some_and(|answer| answer.starts_with("ERROR NODB"));
+    assert!(!denied, "{answer:?}");
+    eventually(CONFIG_TIMEOUT, "the new database at the resumed daemon", || {
+        Client::connect(one.callers, "added").is_ok()
+    });
+}
+
+/// A configuration that adds the database may have been accepted meanwhile.
+#[test]
+fn no_database_is_denied_while_the_store_is_silent() {
+    let platform = start_platform();
+    let daemon = Daemon::start("d1", "127.0.1.14", 0.25, platform.addr);
+    daemon.wait_ready();
+    wait_for_writes(&daemon);
+    platform.set_store_down(true);
+    eventually(2 * CONFIG_TIMEOUT, "a configuration older than its time limit", || {
+        daemon.config_age().is_some_and(|age| age > CONFIG_TIMEOUT)
+    });
+    let answer = Client::connect(daemon.callers, "unknown").err().expect("a refusal");
+    assert!(answer.starts_with("ERROR BUSY"), "{answer}");
+    platform.set_store_down(false);
+    eventually(CONFIG_TIMEOUT, "a denial", || {
+        let answer = Client::connect(daemon.callers, "unknown").err();
+        answer.is_some_and(|answer| answer.starts_with("ERROR NODB"))
+    });
+}
+
 /// Whatever arrives on one of the daemon's ports or in a row of the store, the daemon goes on.
 #[test]
 fn malformed_input_leaves_the_daemon_serving() {
--- a/crates/entry/tests/support/daemon.rs
+++ b/crates/entry/tests/support/daemon.rs
@@ -75,10 +75,33 @@
             .is_some_and(|answer| answer.contains("corianderwharf_grant_without_store 1\n"))
     }
 
+    /// How long ago the configuration was last known to be the newest one.
+    pub fn config_age(&self) -> Option<Duration> {
+        let metrics = SocketAddr::new(self.callers.ip(), METRICS_PORT);
+        let metrics = get(metrics, "/metrics")?;
+        let age =
+            metrics.lines().find_map(|line| line.strip_prefix("corianderwharf_config_age_ms "));
+        Some(Duration::from_millis(age?.parse().ok()?))
+    }
+
     /// Sends SIGTERM to the process.
     pub fn terminate(&self) {
+        self.signal("-TERM");
+    }
+
+    /// Suspends the process until [`Daemon::resume`].
+    pub fn suspend(&self) {
+        self.signal("-STOP");
+    }
+
+    pub fn resume(&self) {
+        self.signal("-CONT");
+    }
+
+    fn signal(&self, signal: &str) {
         let pid = self.child.id().to_string();
-        assert!(Command::new("kill").arg(&pid).status().expect("test setup failed").success());
+        let status = Command::new("kill").args([signal, &pid]).status();
+        assert!(status.expect("test setup failed").success());
     }
 
     /// Waits until the process exits and returns whether its exit code was 0.
