Deny a database only by a configuration that is known to be recent

Cause: a daemon took its copy of the configuration for the present one, however long ago it had last learned that it was.

Now a database is denied only if the copy was confirmed less than a second ago, by an answer of the store or of a carrier with the same rows to a question asked then (all by the clock that counts suspensions). Else the session waits up to 300 ms while the store is asked, and is told to come back (BUSY). A confirmation whose rows are still queued for the data thread counts only once they are applied. A relay does not avoid a carrier for such a BUSY. Ruled out: the relay's own copy of the configuration, which the code does not use.

Class of fault: state used after its validity is unknown.

--- a/crates/entry/src/control/tables.rs
+++ b/crates/entry/src/control/tables.rs
@@ -67,6 +67,12 @@
         self.tables.get(table).map_or(0, |table| table.newest)
     }
 
+    /// Version of the store that the cached rows of a table reflect; `None` if all of its rows have
+    /// never been read.
+    pub(crate) fn as_of(&self, table: &'static str) -> Option<u64> {
+        self.tables.get(table).map(|table| table.as_of)
+    }
+
     /// Snapshots of one table or of all, for another daemon.
     pub(crate) fn snapshots(&self, wanted: Option<&str>) -> Vec<TableSnapshot> {
         let snapshot = |(name, table): (&&'static str, &CachedTable)| TableSnapshot {
--- a/crates/entry/src/control/task.rs
+++ b/crates/entry/src/control/task.rs
@@ -85,6 +85,8 @@
     last_tick: Time,
     last_heartbeat: Option<Time>,
     last_store_poll: Option<Time>,
+    /// When this daemon last asked the store to confirm its copy of each table.
+    last_confirmations: FastMap<&'static str, Time>,
     /// When this daemon last tried to register as a carrier.
     last_registration: Option<Time>,
     /// Since when another daemon has had rows that are missing here.
@@ -218,6 +220,7 @@
             last_tick: clock::now(),
             last_heartbeat: None,
             last_store_poll: None,
+            last_confirmations: FastMap::default(),
             last_registration: None,
             behind_since: None,
             last_row_sync: None,
@@ -290,6 +293,7 @@
                 self.carrier_directory.record_failure(clock::now(), sessions);
                 self.send_carriers(clock::now());
             }
+            Event::Data(Report::ConfigInDoubt) => self.confirm_copy(clock::now(), OPERATOR_TABLE),
             Event::Data(Report::SessionsEnded) => {}
             Event::MemberStatus { member, status } => self.coordinator.set_status(member, status),
             Event::PromotionFinished { group, member, outcome } => {
--- a/crates/entry/src/control/task/heartbeats.rs
+++ b/crates/entry/src/control/task/heartbeats.rs
@@ -1,9 +1,9 @@
 //! Heartbeats, and the reads that make up for missing ones: rows from another daemon and
 //! polls of the store.
 
-use std::net::SocketAddr;
+use std::{net::SocketAddr, time::Duration};
 
-use adapter::{MEMBERS_TABLE, OPERATOR_TABLE};
+use adapter::{CallError, MEMBERS_TABLE, OPERATOR_TABLE};
 use base::{Span, Time};
 use succession::{Copied, PrimaryHealth};
 
@@ -34,6 +34,10 @@
 /// it. The store notifies both daemons within about 10 ms of each other.
 const ROW_SYNC_DELAY: Span = Span::from_millis(250);
 
+/// Minimum interval between two calls that ask the store to confirm a copy. The calls that are
+/// unanswered at a time are limited by it and by their time limit.
+const CONFIRMATION_INTERVAL: Span = Span::from_millis(200);
+
 /// Rows that another daemon has and this one lacks.
 #[derive(Clone, Copy, Debug)]
 enum MissingRows {
@@ -187,6 +191,37 @@
         self.read_state_table(now);
     }
 
+    /// Asks the store whether a copy is complete, and fetches the rows that it lacks. Repeated
+    /// calls are made on new connections, since one that was opened before a standstill or an
+    /// outage may be silent.
+    pub(super) fn confirm_copy(&mut self, now: Time, table: &'static str) {
+        let last = self.last_confirmations.get(table);
+        if last.is_some_and(|at| now.since(*at) < CONFIRMATION_INTERVAL) {
+            return;
+        }
+        self.last_confirmations.insert(table, now);
+        self.shared.count(Counter::StoreCalls);
+        let (store, events) = (self.store.clone(), self.events.clone());
+        let known = self.tables.as_of(table);
+        tokio::spawn(async move {
+            let asked_at = clock::now();
+            let changes = match known {
+                Some(version) => store.feed(table, version, Duration::ZERO).await,
+                None => Err(CallError::HistoryGone),
+            };
+            let (result, complete) = match changes {
+                Err(CallError::HistoryGone) => (store.rows(table).await, true),
+                result => (result, false),
+            };
+            let event = match result {
+                Ok(rows) => Event::Rows { table, rows, complete, asked_at },
+                Err(error) => Event::StoreFailed { table, error },
+            };
+            // Fails only during shutdown.
+            let _ = events.unbounded_send(event);
+        });
+    }
+
     /// Reads the state table from the store.
     pub(super) fn read_state_table(&mut self, now: Time) {
         self.last_store_poll = Some(now);
--- a/crates/entry/src/data/context.rs
+++ b/crates/entry/src/data/context.rs
@@ -8,7 +8,7 @@
 
 use adapter::{Config, Route};
 use admission::RetryBudget;
-use base::FastMap;
+use base::{FastMap, Span};
 use futures_channel::{mpsc, oneshot};
 use futures_util::{FutureExt, future::Shared as SharedFuture};
 
@@ -20,6 +20,9 @@
     shared::Shared,
 };
 
+/// Age up to which the configuration can show that a database does not exist: a fraction of the
+/// few seconds within which an accepted configuration must be in force.
+const DENIAL_MAX_AGE: Span = Span::from_millis(1_000);
 /// Retries that may be sent in a burst; each request adds a fraction of a retry to the
 /// budget.
 const RETRY_BURST: u32 = 30;
@@ -143,6 +146,14 @@
         self.config.borrow().as_ref().map(|config| config.version)
     }
 
+    /// Whether the configuration is so recent that a database can be denied by it.
+    pub(crate) fn is_config_recent(&self) -> bool {
+        let confirmed_at = self.shared.config_confirmed_at();
+        let is_recent = confirmed_at.is_some_and(|at| clock::now().since(at) < DENIAL_MAX_AGE);
+        // What was confirmed may be a version whose order has yet to be applied here.
+        is_recent && self.config_version() == Some(self.shared.config_version())
+    }
+
     /// How long ago the configuration was last known to be the newest one, in milliseconds;
     /// `None` if it never was.
     pub(crate) fn config_age_ms(&self) -> Option<u64> {
--- a/crates/entry/src/data/relay.rs
+++ b/crates/entry/src/data/relay.rs
@@ -281,7 +281,12 @@
                 Ok(())
             }
             Err(error) => {
-                if !matches!(error, MemberError::Refused { code: Code::NoDatabase, .. }) {
+                // A carrier that cannot tell whether a database exists serves the others.
+                let code = match &error {
+                    MemberError::Refused { code, .. } => Some(*code),
+                    _ => None,
+                };
+                if !matches!(code, Some(Code::NoDatabase | Code::Busy)) {
                     report_carrier_failure(&self.cx, sessions);
                 }
                 Err(error)
--- a/crates/entry/src/data/serve.rs
+++ b/crates/entry/src/data/serve.rs
@@ -48,10 +48,11 @@
         prepared: Option<&PreparedStatement>,
     ) -> Result<(), WireError> {
         self.cx.shared.count(Counter::Statements);
-        let Some((route, _)) = self.cx.route(&self.database) else {
-            return self.fail(id, Code::NoDatabase, "no database of that name any more").await;
-        };
         let received_at = clock::now();
+        let route = match self.find_route().await {
+            Ok((route, _)) => route,
+            Err((code, reason)) => return self.fail(id, code, reason).await,
+        };
         let stmt = ActiveStatement {
             id,
             verb,
--- a/crates/entry/src/data/session.rs
+++ b/crates/entry/src/data/session.rs
@@ -1,7 +1,7 @@
 use std::{pin::pin, rc::Rc, time::Duration};
 
-use adapter::{CallerMsg, Code, PreparedStatement, Statement, TransactionState, own, write};
-use base::{FastMap, Position};
+use adapter::{CallerMsg, Code, PreparedStatement, Route, Statement, TransactionState, own, write};
+use base::{FastMap, Position, Span};
 use bytes::BytesMut;
 use futures_util::{FutureExt, future, future::Either};
 use monoio::{
@@ -11,7 +11,10 @@
 use wire::{Conn, WireError};
 
 use crate::{
+    clock,
+    control::Event,
     data::{conn_lease::ConnLease, context::Context, member_conn::SessionParams, relay::Relay},
+    messages::Report,
     shared::Counter,
 };
 
@@ -22,6 +25,10 @@
 /// How long a new session waits for the first configuration. Callers give up after two
 /// seconds.
 const CONFIG_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// How long a session waits for evidence that its database does not exist. Shorter than a daemon
+/// that relays a session waits for its carrier.
+const DENIAL_TIMEOUT: Span = Span::from_millis(300);
+const CONFIRMATION_CHECK_INTERVAL: Duration = Duration::from_millis(10);
 /// How long an idle session must receive nothing before it is closed. A request may already be
 /// under way when the daemon decides to close the session.
 const QUIET_PERIOD: Duration = Duration::from_millis(60);
@@ -119,8 +126,8 @@
             if let Err((code, text)) = self.connect_to_carrier().await {
                 return self.reject(code, &text).await;
             }
-        } else if self.cx.route(&self.database).is_none() {
-            return self.reject(Code::NoDatabase, "no database of that name").await;
+        } else if let Err((code, text)) = self.find_route().await {
+            return self.reject(code, text).await;
         }
         self.reply(|buf| write::ready(buf, TransactionState::Idle, None)).await?;
         loop {
@@ -131,6 +138,28 @@
         }
     }
 
+    /// The route of the session's database, with the configuration's version. The configuration
+    /// may be outdated, for example after a standstill, so it cannot deny a database before the
+    /// store or another carrier has confirmed that it is recent. If none does so in time, the
+    /// caller is asked to come back.
+    pub(crate) async fn find_route(&self) -> Result<(Route, u64), (Code, &'static str)> {
+        let end = clock::now() + DENIAL_TIMEOUT;
+        loop {
+            if let Some(found) = self.cx.route(&self.database) {
+                return Ok(found);
+            }
+            if self.cx.is_config_recent() {
+                return Err((Code::NoDatabase, "no database of that name"));
+            }
+            if clock::now() >= end {
+                return Err((Code::Busy, "cannot tell at present whether the database exists"));
+            }
+            // Fails only during shutdown.
+            let _ = self.cx.events.unbounded_send(Event::Data(Report::ConfigInDoubt));
+            time::sleep(CONFIRMATION_CHECK_INTERVAL).await;
+        }
+    }
+
     async fn wait_until_servable(&self) {
         let wait = async {
             while !self.cx.can_serve() {
--- a/crates/entry/src/messages.rs
+++ b/crates/entry/src/messages.rs
@@ -52,6 +52,9 @@
     PrimaryHealth { group: String, primary: MemberId, health: PrimaryHealth },
     /// A session with the carrier at this address could not be opened, or was lost.
     CarrierFailed { sessions: SocketAddr },
+    /// A session asks for a database that the configuration lacks, and the configuration may be
+    /// outdated.
+    ConfigInDoubt,
     /// Every session has ended after [`Order::Stop`].
     SessionsEnded,
 }
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -95,7 +95,13 @@
         self.config_confirmed_at.store(micros, Ordering::Release);
     }
 
-    /// Records the version of the configuration in force, for the metrics.
+    /// Version of the newest configuration that this daemon has received.
+    pub(crate) fn config_version(&self) -> u64 {
+        self.config_version.load(Ordering::Relaxed)
+    }
+
+    /// Records the version of a configuration. Must be called before it is confirmed
+    /// ([`Shared::set_config_confirmed_at`]).
     pub(crate) fn set_config_version(&self, version: u64) {
         self.config_version.store(version, Ordering::Relaxed);
     }
@@ -131,7 +137,7 @@
         let mut text = String::new();
         let grant_left = self.grant_expiry().since(now).as_millis();
         text.push_str(&format!("corianderwharf_grant_left_ms {grant_left}\n"));
-        let version = self.config_version.load(Ordering::Relaxed);
+        let version = self.config_version();
         text.push_str(&format!("corianderwharf_config_version {version}\n"));
         if let Some(at) = self.config_confirmed_at() {
             let age = now.since(at).as_millis();
