Run requests only by copies of configuration and members that are known to be recent

Cause: the grant shows that no change of primary is under way, nothing about the other tables. Now the copies have a lease of the same kind (succession::CopyLease): evidence is the store's answer, or a majority of carriers without newer rows, 1.5 s each; without the store 16 s. Without it a carrier starts no statement (READONLY, so that relays try another one), tells relays so, and is not ready; it fetches missing rows at once, and asks the store itself while too few carriers answer.

Ruled out: the grant's own evidence extended to all tables, since store answers differ by table.

--- a/crates/entry/src/control/task.rs
+++ b/crates/entry/src/control/task.rs
@@ -314,6 +314,7 @@
             self.send_heartbeats(now);
         }
         self.poll_store(now);
+        self.poll_copies(now);
         self.register_carrier(now);
         self.expire_carriers(now);
         self.update_grant();
--- a/crates/entry/src/control/task/carrier_role.rs
+++ b/crates/entry/src/control/task/carrier_role.rs
@@ -18,7 +18,7 @@
     messages::{CarrierChoice, Order},
 };
 
-/// A carrier is not ready when its grant expires within this time. The platform takes two
+/// A carrier is not ready when its grant, or the lease of its copies, expires within this time. The platform takes two
 /// failed probes to send callers to other daemons.
 const READY_GRANT_MARGIN: Span = Span::from_millis(500);
 /// How long a carrier must have been without a sufficient grant before it sends idle
@@ -158,10 +158,16 @@
     pub(super) fn update_grant(&self) {
         let until = if self.carries { self.grant.expires_at() } else { Time::default() };
         self.shared.set_grant_expiry(until);
+        self.shared.set_copies_expiry(self.copies.expires_at());
         self.shared.set_config_confirmed_at(self.copies.confirmed_at(Copied::Config));
         self.shared.set_peers_suffice(self.grant.peers_suffice(clock::now(), Span::ZERO));
     }
 
+    /// Time until which this carrier may run requests, writes included.
+    pub(super) fn serves_until(&self) -> Time {
+        self.shared.grant_expiry().min(self.shared.copies_expiry())
+    }
+
     pub(super) fn update_readiness(&mut self, now: Time) {
         self.update_followed_tables(now);
         self.send_carriers(now);
@@ -171,7 +177,7 @@
             } else {
                 self.sent_carriers.as_ref().is_some_and(|choice| !choice.preferred.is_empty())
             };
-        let granted = !self.carries || now + READY_GRANT_MARGIN < self.shared.grant_expiry();
+        let granted = !self.carries || now + READY_GRANT_MARGIN < self.serves_until();
         if granted || !known {
             self.granted_at = Some(now);
         }
--- a/crates/entry/src/control/task/heartbeats.rs
+++ b/crates/entry/src/control/task/heartbeats.rs
@@ -80,7 +80,7 @@
             from: self.settings.vm.clone(),
             run: self.run,
             carries: self.carries,
-            accepts_sessions: !self.stopping && clock::now() < self.shared.grant_expiry(),
+            accepts_sessions: !self.stopping && clock::now() < self.serves_until(),
             acts: self
                 .store_answered_at
                 .is_some_and(|at| clock::now().since(at) < STORE_ANSWER_MAX_AGE),
@@ -118,7 +118,9 @@
         let Some(missing) = self.missing_rows(now, heartbeat) else { return };
         let since = *self.behind_since.get_or_insert(now);
         // To a carrier, the store should have delivered the rows; other daemons do not ask it.
-        let late = !self.carries || now.since(since) >= ROW_SYNC_DELAY;
+        let late = !self.carries
+            || now.since(since) >= ROW_SYNC_DELAY
+            || now >= self.shared.copies_expiry();
         let recently = self.last_row_sync.is_some_and(|at| now.since(at) < STORE_POLL_INTERVAL);
         let Some(peer) = self.peers.peers.get(&heartbeat.from).filter(|_| late && !recently) else {
             return;
@@ -191,6 +193,19 @@
         self.read_state_table(now);
     }
 
+    /// Asks the store to confirm the copies while the other carriers' answers do not suffice.
+    pub(super) fn poll_copies(&mut self, now: Time) {
+        if !self.carries || self.copies.peers_suffice(now, GRANT_LOW_MARGIN) {
+            return;
+        }
+        for table in [OPERATOR_TABLE, MEMBERS_TABLE] {
+            let last = self.last_confirmations.get(table);
+            if last.is_none_or(|at| now.since(*at) >= STORE_POLL_INTERVAL) {
+                self.confirm_copy(now, table);
+            }
+        }
+    }
+
     /// Asks the store whether a copy is complete, and fetches the rows that it lacks. Repeated
     /// calls are made on new connections, since one that was opened before a standstill or an
     /// outage may be silent.
--- a/crates/entry/src/data/active_statement.rs
+++ b/crates/entry/src/data/active_statement.rs
@@ -31,6 +31,6 @@
 pub(super) enum Acquired {
     Lease(ConnLease),
     Refused(&'static str),
-    /// The statement requires the primary, and this daemon holds no grant to use it.
-    NoGrant,
+    /// This daemon cannot run the statement at present; another one may.
+    Elsewhere(&'static str),
 }
--- a/crates/entry/src/data/relay.rs
+++ b/crates/entry/src/data/relay.rs
@@ -167,8 +167,10 @@
                 return self.fail(id, Code::Busy, &error.to_string()).await;
             }
             match self.run_on_carrier(id, after, text, reads).await {
-                // This carrier holds no grant to use the primary; another one may.
-                Ok(answer) if no_grant(&answer) && attempts < MAX_ATTEMPTS => self.drop_carrier(),
+                // This carrier holds no grant, or its copies may be outdated; another one may do.
+                Ok(answer) if is_elsewhere(&answer) && attempts < MAX_ATTEMPTS => {
+                    self.drop_carrier()
+                }
                 Ok(answer) => {
                     if !reads && answer.result.is_ok() {
                         self.last_write = self.last_write.max(answer.position.unwrap_or_default());
@@ -329,8 +331,8 @@
     }
 }
 
-/// Whether a carrier refused the statement because it holds no grant to use the primary.
-fn no_grant(answer: &Answer) -> bool {
+/// Whether a carrier refused the statement because it cannot run statements at present.
+fn is_elsewhere(answer: &Answer) -> bool {
     matches!(answer.result, Err((Code::ReadOnly, _)))
 }
 
--- a/crates/entry/src/data/serve.rs
+++ b/crates/entry/src/data/serve.rs
@@ -35,7 +35,11 @@
 
 /// Error text of a statement that requires the primary while this daemon holds no grant; the
 /// caller may succeed at another daemon.
-pub(super) const NO_GRANT: &str = "this daemon cannot tell at present who is primary";
+const NO_GRANT: &str = "this daemon cannot tell at present who is primary";
+
+/// Error text of a statement that this daemon would run by a configuration or members that may be
+/// outdated; the caller may succeed at another daemon.
+const OUTDATED_COPIES: &str = "this daemon's configuration may be outdated at present";
 
 impl Session {
     /// Runs a statement that reads or writes data on a member, within the session's
@@ -97,8 +101,11 @@
         route: &Route,
         requirement: Requirement,
     ) -> Result<Acquired, WireError> {
+        if clock::now() >= self.cx.shared.copies_expiry() {
+            return Ok(Acquired::Elsewhere(OUTDATED_COPIES));
+        }
         if requirement == Requirement::Primary && group.lacks_grant() {
-            return Ok(Acquired::NoGrant);
+            return Ok(Acquired::Elsewhere(NO_GRANT));
         }
         let req = self.cx.number();
         let rank = match route.priority {
--- a/crates/entry/src/data/single.rs
+++ b/crates/entry/src/data/single.rs
@@ -12,7 +12,7 @@
         conn_lease::ConnLease,
         group::{Group, requirement_for},
         member_conn::{Answer, MemberError},
-        serve::{GRANT_LAPSED, MAX_ATTEMPTS, NO_GRANT, RETRY_DELAY},
+        serve::{GRANT_LAPSED, MAX_ATTEMPTS, RETRY_DELAY},
         session::Session,
     },
     shared::Counter,
@@ -43,7 +43,9 @@
             let lease = match self.acquire(&group, stmt, route, requirement_for(required)).await? {
                 Acquired::Lease(lease) => lease,
                 Acquired::Refused(reason) => return self.fail(stmt.id, Code::Busy, reason).await,
-                Acquired::NoGrant => return self.fail(stmt.id, Code::ReadOnly, NO_GRANT).await,
+                Acquired::Elsewhere(reason) => {
+                    return self.fail(stmt.id, Code::ReadOnly, reason).await;
+                }
             };
             let outcome = self.attempt_single(stmt, route, &group, lease, required).await;
             let (code, reason) = match outcome {
--- a/crates/entry/src/data/transaction.rs
+++ b/crates/entry/src/data/transaction.rs
@@ -9,7 +9,7 @@
         active_statement::{Acquired, ActiveStatement, AttemptOutcome},
         conn_lease::ConnLease,
         group::requirement_for,
-        serve::{GRANT_LAPSED, MAX_ATTEMPTS, NO_GRANT, RETRY_DELAY},
+        serve::{GRANT_LAPSED, MAX_ATTEMPTS, RETRY_DELAY},
         session::{Session, Transaction, roll_back},
     },
 };
@@ -37,9 +37,9 @@
                         self.tx = Transaction::Failed;
                         return self.fail(stmt.id, Code::Busy, reason).await;
                     }
-                    Acquired::NoGrant => {
+                    Acquired::Elsewhere(reason) => {
                         self.tx = Transaction::Failed;
-                        return self.fail(stmt.id, Code::ReadOnly, NO_GRANT).await;
+                        return self.fail(stmt.id, Code::ReadOnly, reason).await;
                     }
                 };
             let begin = own::begin(read_only);
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -13,6 +13,7 @@
 #[derive(Debug)]
 pub(crate) struct Shared {
     grant_expiry: AtomicU64,
+    copies_expiry: AtomicU64,
     config_version: AtomicU64,
     /// In microseconds; 0 if the store has never confirmed the configuration.
     config_confirmed_at: AtomicU64,
@@ -63,6 +64,7 @@
         let latency = Histogram::new_with_max(MAX_LATENCY_US, 2);
         Shared {
             grant_expiry: AtomicU64::new(0),
+            copies_expiry: AtomicU64::new(0),
             config_version: AtomicU64::new(0),
             config_confirmed_at: AtomicU64::new(0),
             ready: AtomicBool::new(false),
@@ -81,6 +83,16 @@
         self.grant_expiry.store(expiry.as_micros(), Ordering::Release);
     }
 
+    /// Time until which this daemon may run requests by its copies of the configuration and of the
+    /// members' entries.
+    pub(crate) fn copies_expiry(&self) -> Time {
+        Time::from_micros(self.copies_expiry.load(Ordering::Acquire))
+    }
+
+    pub(crate) fn set_copies_expiry(&self, expiry: Time) {
+        self.copies_expiry.store(expiry.as_micros(), Ordering::Release);
+    }
+
     /// Latest moment at which the configuration is known to have been the newest one; `None` if
     /// there was none.
     pub(crate) fn config_confirmed_at(&self) -> Option<Time> {
@@ -137,6 +149,8 @@
         let mut text = String::new();
         let grant_left = self.grant_expiry().since(now).as_millis();
         text.push_str(&format!("corianderwharf_grant_left_ms {grant_left}\n"));
+        let copies_left = self.copies_expiry().since(now).as_millis();
+        text.push_str(&format!("corianderwharf_copies_left_ms {copies_left}\n"));
         let version = self.config_version();
         text.push_str(&format!("corianderwharf_config_version {version}\n"));
         if let Some(at) = self.config_confirmed_at() {
--- a/crates/entry/tests/platform.rs
+++ b/crates/entry/tests/platform.rs
@@ -7,7 +7,7 @@
     time::{Duration, Instant},
 };
 
-use support::{Client, Daemon, daemon, databases, start_platform};
+use support::{Client, Daemon, Link, Peer, daemon, databases, start_platform};
 
 /// Longest time that the users allow for a failover.
 const FAILOVER_TIMEOUT: Duration = Duration::from_secs(6);
@@ -260,6 +260,63 @@
     });
 }
 
+/// Only other carriers can tell it of the dropped database, since its own connection to the store
+/// is silent. The first that answers already extends its grant to use primaries.
+#[test]
+fn a_carrier_that_stood_still_runs_nothing_for_a_database_dropped_meanwhile() {
+    let platform = start_platform();
+    platform.configure(&databases(&["orders", "orders-old"]));
+    let link = Link::start(platform.addr);
+    let one = Daemon::start("d1", "127.0.1.15", 0.25, link.addr);
+    let two = Daemon::start("d2", "127.0.1.16", 0.25, platform.addr);
+    let three = Daemon::start("d3", "127.0.1.17", 0.25, platform.addr);
+    for daemon in [&one, &two, &three] {
+        daemon.wait_ready();
+        wait_for_writes(daemon);
+    }
+    eventually(Duration::from_secs(3), "answers of each other", || {
+        one.is_granted_without_store() && two.is_granted_without_store()
+    });
+    let mut session = client(&one, "orders-old");
+    link.cut();
+    one.suspend();
+    platform.configure(&databases(&["orders"]));
+    let configured = Instant::now();
+    eventually(2 * CONFIG_TIMEOUT, "the configuration at the others, and its time limit", || {
+        Client::connect(two.callers, "orders-old").is_err() && configured.elapsed() > CONFIG_TIMEOUT
+    });
+    one.resume();
+    let resumed = Instant::now();
+    let mut number = 0;
+    while resumed.elapsed() < CONFIG_TIMEOUT {
+        number += 1;
+        let answer = session.query(&format!("STORE lot-{number} x")).result;
+        answer.expect_err("a write for a dropped database");
+    }
+}
+
+/// Its own connection to the store is silent, and the other carrier, which has the configuration,
+/// extends its grant to use primaries but does not answer the request for the missing rows.
+#[test]
+fn a_carrier_that_lacks_the_newest_configuration_stops_running_statements() {
+    let platform = start_platform();
+    let link = Link::start(platform.addr);
+    let daemon = Daemon::start("d1", "127.0.1.19", 0.25, link.addr);
+    daemon.wait_ready();
+    wait_for_writes(&daemon);
+    let peer = Peer::start(&platform, "127.0.1.18");
+    eventually(Duration::from_secs(3), "answers of the other carrier", || {
+        daemon.is_granted_without_store()
+    });
+    let mut session = client(&daemon, "orders");
+    link.cut();
+    peer.set_newest_config(1_000_000);
+    eventually(CONFIG_TIMEOUT, "a refusal", || {
+        session.query("STORE lot x").result.is_err_and(|error| error.starts_with("READONLY"))
+    });
+    assert!(!daemon.is_ready());
+}
+
 /// A configuration that adds the database may have been accepted meanwhile.
 #[test]
 fn no_database_is_denied_while_the_store_is_silent() {
--- a/crates/entry/tests/support/mod.rs
+++ b/crates/entry/tests/support/mod.rs
@@ -2,11 +2,13 @@
 
 mod client;
 pub mod daemon;
+mod link;
+mod peer;
 
 use base::Span;
 use standins::lines::{Options, Platform};
 
-pub use self::{client::Client, daemon::Daemon};
+pub use self::{client::Client, daemon::Daemon, link::Link, peer::Peer};
 
 /// Starts a platform with one group of three members; `svc1-m1` is the primary.
 pub fn start_platform() -> Platform {
