Measure the silence of others only while this daemon runs itself

What callers would see: a daemon that has been suspended finds by its clock that everybody else has been silent, and at its first tick takes the failover lease from a holder in good order (the next change of primary a second later), drops the carrier slots of live carriers (as holder, after 14 s), reports a primary as silent (if two fifths of the carriers stood still together: a needless change of primary, which loses commits that no replica had), gives up statements whose answers have arrived, and closes idle sessions for want of a grant.

Both threads now detect a standstill of their own (1 s between two ticks), and silence counts from its end. Ruled out: a lease taken in this way is not unsafe (its writes are conditional), only needless.

--- a/crates/entry/src/control/coordinator.rs
+++ b/crates/entry/src/control/coordinator.rs
@@ -170,17 +170,19 @@
     /// Takes the lease if it is free or its holder has failed. If this daemon holds it,
     /// advances the failover of each group.
     ///
-    /// `store_ms` is the store's clock in its latest response, in milliseconds.
+    /// `running_for` is how long this process has been running without a standstill, `store_ms` the
+    /// store's clock in its latest response, in milliseconds.
     pub(crate) fn tick(
         &mut self,
         coordination: &CoordinationState,
         peers: &Peers,
+        running_for: Span,
         store_ms: u64,
         groups: &[GroupView<'_>],
     ) {
         let now = clock::now();
         if self.holder_since.is_none() {
-            self.try_take_over(now, coordination, peers);
+            self.try_take_over(now, coordination, peers, running_for);
             return;
         }
         let carriers = CarrierRoster { vm: &self.vm, coordination, peers, store_ms }.entries();
@@ -189,7 +191,13 @@
         }
     }
 
-    fn try_take_over(&mut self, now: Time, coordination: &CoordinationState, peers: &Peers) {
+    fn try_take_over(
+        &mut self,
+        now: Time,
+        coordination: &CoordinationState,
+        peers: &Peers,
+        running_for: Span,
+    ) {
         if !coordination.loaded
             || coordination.carrier(&self.vm).is_none()
             || self.is_write_delayed(now)
@@ -210,7 +218,9 @@
                     self.holder_store_reachable_at.max(store_reachable_at.unwrap_or_default());
                 // The wait is the same for a holder that has restarted: the last failover
                 // call of its previous process may be in flight.
-                if now.since(self.holder_store_reachable_at) < HOLDER_TIMEOUT + stagger {
+                let silence = now.since(self.holder_store_reachable_at);
+                // The holder may have been heard if this daemon had been running.
+                if silence.min(running_for) < HOLDER_TIMEOUT + stagger {
                     return;
                 }
                 (duty.token + 1, *version)
@@ -418,3 +428,6 @@
 pub(crate) fn encode(record: &impl serde::Serialize) -> Vec<u8> {
     serde_json::to_vec(record).expect("records contain only strings, numbers and booleans")
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/entry/src/control/task.rs
+++ b/crates/entry/src/control/task.rs
@@ -31,6 +31,7 @@
     },
     messages::{CarrierChoice, Order, Report},
     shared::{Counter, Shared},
+    standstill::StandstillDetector,
 };
 
 mod carrier_role;
@@ -49,9 +50,6 @@
 const STORE_POLL_INTERVAL: Span = Span::from_millis(400);
 /// Age up to which this daemon's own observation of a primary's health counts.
 const HEALTH_MAX_AGE: Span = Span::from_millis(500);
-/// Time between two ticks from which on this process counts as having stood still: several
-/// missed heartbeats, and more than a VM waits that has used up its share of a core.
-const MIN_STANDSTILL: Span = Span::from_millis(1_000);
 /// Size of the receive buffer. Heartbeats are far smaller.
 const MAX_DATAGRAM_BYTES: usize = 16 * 1024;
 
@@ -81,8 +79,7 @@
     applied_version: u64,
     /// Health of each group's primary as the data thread last observed it.
     opinions: FastMap<String, (MemberId, PrimaryHealth, Time)>,
-    /// Time of the last tick, or of the start.
-    last_tick: Time,
+    standstill: StandstillDetector,
     last_heartbeat: Option<Time>,
     last_store_poll: Option<Time>,
     /// When this daemon last asked the store to confirm its copy of each table.
@@ -217,7 +214,7 @@
             pending_orders: PendingOrders::default(),
             applied_version: 0,
             opinions: FastMap::default(),
-            last_tick: clock::now(),
+            standstill: StandstillDetector::new(clock::now()),
             last_heartbeat: None,
             last_store_poll: None,
             last_confirmations: FastMap::default(),
@@ -322,14 +319,12 @@
         self.steer(now);
     }
 
-    /// Notices that this process did not run for a while: its VM was suspended, or had no
-    /// processor time.
+    /// After a standstill, measures the silence of others, and the time without a grant, anew:
+    /// they may have answered, and this daemon could not ask.
     fn detect_standstill(&mut self, now: Time) {
-        let stood_still = now.since(self.last_tick);
-        self.last_tick = now;
-        if stood_still < MIN_STANDSTILL {
-            return;
-        }
+        let Some(stood_still) = self.standstill.observe(now) else { return };
+        self.carrier_directory.resume(now);
+        self.granted_at = Some(now);
         self.shared.count(Counter::Standstills);
         logs::event(
             "resumed",
@@ -344,7 +339,8 @@
         }
         let Some(config) = self.config.clone() else { return };
         let views: Vec<_> = config.groups.iter().map(|group| self.group_view(now, group)).collect();
-        self.coordinator.tick(&self.coordination, &self.peers, self.store_ms, &views);
+        let running_for = self.standstill.running_for(now);
+        self.coordinator.tick(&self.coordination, &self.peers, running_for, self.store_ms, &views);
     }
 
     fn group_view<'a>(&self, now: Time, group: &'a Group) -> GroupView<'a> {
--- a/crates/entry/src/control/task/carrier_role.rs
+++ b/crates/entry/src/control/task/carrier_role.rs
@@ -136,7 +136,9 @@
 
     /// Marks a carrier that has been silent for [`CARRIER_EXPIRY`] as without a carrier slot.
     pub(super) fn expire_carriers(&mut self, now: Time) {
-        if !self.coordinator.is_holder() {
+        // The silence of others counts only while this daemon could hear them.
+        let could_hear = self.standstill.running_for(now) >= CARRIER_EXPIRY;
+        if !self.coordinator.is_holder() || !could_hear {
             return;
         }
         let gone = self.peers.peers.iter().find(|(_, peer)| {
--- a/crates/entry/src/data/context.rs
+++ b/crates/entry/src/data/context.rs
@@ -18,6 +18,7 @@
     data::{group::Group, names::StatementNumbers},
     messages::CarrierChoice,
     shared::Shared,
+    standstill::StandstillDetector,
 };
 
 /// Age up to which the configuration can show that a database does not exist: a fraction of the
@@ -55,6 +56,8 @@
     pub(crate) close_after_reply: Cell<bool>,
     /// Who runs the statements of this daemon's sessions.
     pub(crate) carriers: RefCell<CarrierChoice>,
+    /// Standstills of the data thread.
+    pub(crate) standstill: Cell<StandstillDetector>,
     /// Whether idle sessions are closed so that callers reconnect to other daemons.
     pub(crate) evacuate: Cell<bool>,
     last_id: Cell<u64>,
@@ -92,6 +95,7 @@
             stop_transactions: stop_transactions.shared(),
             close_after_reply: Cell::new(false),
             carriers: RefCell::default(),
+            standstill: Cell::new(StandstillDetector::new(clock::now())),
             evacuate: Cell::new(false),
             last_id: Cell::new(0),
         };
--- a/crates/entry/src/data/group.rs
+++ b/crates/entry/src/data/group.rs
@@ -343,7 +343,9 @@
         let state = self.state.borrow();
         let Some(primary) = state.lead.clone() else { return };
         let now = clock::now();
-        let silence = state.pool.unanswered_for(now, &primary);
+        // Answers that arrived during a standstill may not have been read yet.
+        let running_for = self.cx.standstill.get().running_for(now);
+        let silence = state.pool.unanswered_for(now, &primary).min(running_for);
         let health = if state.pool.refuses_connections(&primary) {
             PrimaryHealth::Refused
         } else if silence >= SILENT_AFTER {
--- a/crates/entry/src/data/task.rs
+++ b/crates/entry/src/data/task.rs
@@ -87,6 +87,9 @@
 async fn tick(cx: Rc<Context>) {
     loop {
         time::sleep(TICK_INTERVAL).await;
+        let mut standstill = cx.standstill.get();
+        standstill.observe(clock::now());
+        cx.standstill.set(standstill);
         let groups: Vec<_> = cx.groups.borrow().values().cloned().collect();
         for group in groups {
             group.tick();
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -12,5 +12,6 @@
 mod data;
 mod messages;
 mod shared;
+mod standstill;
 
 pub use crate::daemon::{Daemon, StartError};
--- a/crates/succession/src/carrier_directory.rs
+++ b/crates/succession/src/carrier_directory.rs
@@ -91,6 +91,15 @@
         }
     }
 
+    /// Records that this daemon runs again after it has stood still: the answers of the meantime
+    /// are still on their way, so no carrier counts as silent yet.
+    pub fn resume(&mut self, now: Time) {
+        for carrier in self.carriers.values_mut() {
+            carrier.last_answer = now;
+            carrier.unanswered_since = carrier.unanswered_since.map(|_| now);
+        }
+    }
+
     /// Records that a session to this address could not be opened, or broke.
     pub fn record_failure(&mut self, now: Time, sessions: SocketAddr) {
         let mut carriers = self.carriers.values_mut();
--- a/crates/succession/tests/carriers.rs
+++ b/crates/succession/tests/carriers.rs
@@ -24,6 +24,22 @@
     ports
 }
 
+/// Guards against a relay that gives up statements whose answers arrived while it was suspended.
+#[test]
+fn a_daemon_that_stood_still_does_not_take_carriers_for_lost() {
+    let records = [record("1", "a", 10)];
+    let start = Time::from_micros(1_000_000);
+    let mut carriers = CarrierDirectory::default();
+    carriers.set(start, records.iter());
+    carriers.ask(start, "a");
+    let resumed = start + Span::from_millis(5_400);
+    assert!(carriers.live_addrs(resumed).is_empty());
+    carriers.resume(resumed);
+    assert_eq!(carriers.live_addrs(resumed), [records[0].sessions]);
+    assert_eq!(carriers.silence(resumed), Some(Span::ZERO));
+    assert!(carriers.live_addrs(resumed + Span::from_millis(1_400)).is_empty());
+}
+
 #[test]
 fn healthy_carriers_of_the_zone_come_first_then_any_healthy_then_all() {
     let records = [record("1", "a", 10), record("2", "a", 20), record("3", "b", 30)];
