Drop a member only when a current copy shows that its entry is still missing

Callers saw (test): BUSY for every write once a primary's entry had lapsed and the store went silent, though the primary lived and the carriers answered each other.

Cause: a member was dropped 2.3 s after its entry had disappeared, by this daemon's clock alone, whether or not it could have learned that the entry was back; the same after a standstill. Now the copy must have been confirmed after these 2.3 s; if it has not, the store is asked, once a second at most.

Test: a_member_whose_entry_lapsed_is_kept_while_the_store_is_silent failed before (BUSY after 8.7 s, the statement's limit, once the primary had been dropped), passes now.

--- a/crates/entry/src/control/task.rs
+++ b/crates/entry/src/control/task.rs
@@ -290,7 +290,10 @@
                 self.carrier_directory.record_failure(clock::now(), sessions);
                 self.send_carriers(clock::now());
             }
-            Event::Data(Report::ConfigInDoubt) => self.confirm_copy(clock::now(), OPERATOR_TABLE),
+            Event::Data(Report::ConfigInDoubt) => {
+                let interval = heartbeats::CONFIRMATION_INTERVAL;
+                self.confirm_copy(clock::now(), OPERATOR_TABLE, interval);
+            }
             Event::Data(Report::SessionsEnded) => {}
             Event::MemberStatus { member, status } => self.coordinator.set_status(member, status),
             Event::PromotionFinished { group, member, outcome } => {
--- a/crates/entry/src/control/task/heartbeats.rs
+++ b/crates/entry/src/control/task/heartbeats.rs
@@ -34,9 +34,10 @@
 /// it. The store notifies both daemons within about 10 ms of each other.
 const ROW_SYNC_DELAY: Span = Span::from_millis(250);
 
-/// Minimum interval between two calls that ask the store to confirm a copy. The calls that are
-/// unanswered at a time are limited by it and by their time limit.
-const CONFIRMATION_INTERVAL: Span = Span::from_millis(200);
+/// Minimum interval between two calls that ask the store to confirm the configuration while
+/// sessions wait for it. The calls that are unanswered at a time are limited by it and by their
+/// time limit.
+pub(super) const CONFIRMATION_INTERVAL: Span = Span::from_millis(200);
 
 /// Rows that another daemon has and this one lacks.
 #[derive(Clone, Copy, Debug)]
@@ -199,19 +200,16 @@
             return;
         }
         for table in [OPERATOR_TABLE, MEMBERS_TABLE] {
-            let last = self.last_confirmations.get(table);
-            if last.is_none_or(|at| now.since(*at) >= STORE_POLL_INTERVAL) {
-                self.confirm_copy(now, table);
-            }
+            self.confirm_copy(now, table, STORE_POLL_INTERVAL);
         }
     }
 
-    /// Asks the store whether a copy is complete, and fetches the rows that it lacks. Repeated
-    /// calls are made on new connections, since one that was opened before a standstill or an
-    /// outage may be silent.
-    pub(super) fn confirm_copy(&mut self, now: Time, table: &'static str) {
+    /// Asks the store whether a copy is complete, and fetches the rows that it lacks; not earlier
+    /// than `interval` after the last time. Unanswered calls are not waited for: a connection that
+    /// was opened before a standstill or an outage may be silent, a new one not.
+    pub(super) fn confirm_copy(&mut self, now: Time, table: &'static str, interval: Span) {
         let last = self.last_confirmations.get(table);
-        if last.is_some_and(|at| now.since(*at) < CONFIRMATION_INTERVAL) {
+        if last.is_some_and(|at| now.since(*at) < interval) {
             return;
         }
         self.last_confirmations.insert(table, now);
--- a/crates/entry/src/control/task/rows.rs
+++ b/crates/entry/src/control/task/rows.rs
@@ -22,6 +22,8 @@
 /// How long a member is kept after its entry has disappeared. Entries that expire during an
 /// outage of the store are written again within two seconds after its end.
 const MEMBER_ENTRY_EXPIRY: Span = Span::from_millis(2_300);
+/// Minimum interval between calls that ask the store whether members' entries are still missing.
+const MISSING_CHECK_INTERVAL: Span = Span::from_millis(1_000);
 /// Minimum number of carriers among which connections are divided, so that the first to
 /// start does not open connections that the others need a moment later. Lower than the number
 /// of carrier slots (`succession::CarrierSlots`), not all of which need be taken.
@@ -112,10 +114,18 @@
     }
 
     pub(super) fn expire_members(&mut self, now: Time) {
+        let expires_at = |member: &Member| Some(member.missing_since? + MEMBER_ENTRY_EXPIRY);
+        let Some(next) = self.members.values().filter_map(expires_at).min() else { return };
+        // Only a copy that is complete after this time shows that the entry is still missing.
+        let confirmed_at = self.copies.confirmed_at(Copied::Members).unwrap_or_default();
+        if next > confirmed_at {
+            if next <= now {
+                self.confirm_copy(now, MEMBERS_TABLE, MISSING_CHECK_INTERVAL);
+            }
+            return;
+        }
         let before = self.members.len();
-        self.members.retain(|_, member| {
-            member.missing_since.is_none_or(|since| now.since(since) < MEMBER_ENTRY_EXPIRY)
-        });
+        self.members.retain(|_, member| expires_at(member).is_none_or(|at| at > confirmed_at));
         if self.members.len() < before {
             self.send_members();
         }
--- a/crates/entry/tests/platform.rs
+++ b/crates/entry/tests/platform.rs
@@ -15,6 +15,8 @@
 const CONFIG_TIMEOUT: Duration = Duration::from_secs(3);
 /// Twice the duration of the grant that an answer of the store gives to use a primary.
 const TWO_GRANTS: Duration = Duration::from_secs(3);
+/// Longest time until a live member's entry is back after the store's return.
+const MEMBER_RETURN: Duration = Duration::from_secs(2);
 /// Time between SIGTERM and SIGKILL in the settings of these tests.
 const GRACE: Duration = Duration::from_secs(6);
 /// Part of the grace period reserved for the last statement that was accepted.
@@ -180,6 +182,33 @@
     }
 }
 
+/// The entry is back within two seconds of the store's return, so only a store that answers
+/// can show that a member has left.
+#[test]
+fn a_member_whose_entry_lapsed_is_kept_while_the_store_is_silent() {
+    let platform = start_platform();
+    let one = Daemon::start("d1", "127.0.1.20", 0.25, platform.addr);
+    let two = Daemon::start("d2", "127.0.1.21", 0.25, platform.addr);
+    for daemon in [&one, &two] {
+        daemon.wait_ready();
+        wait_for_writes(daemon);
+    }
+    eventually(Duration::from_secs(3), "answers of each other", || {
+        one.is_granted_without_store() && two.is_granted_without_store()
+    });
+    let mut session = client(&one, "orders");
+    platform.drop_entry("svc1-m1");
+    let dropped = Instant::now();
+    while dropped.elapsed() < MEMBER_RETURN / 2 {
+        assert!(session.query("STORE lot x").result.is_ok());
+    }
+    platform.set_store_down(true);
+    while dropped.elapsed() < 2 * MEMBER_RETURN {
+        let answer = session.query("STORE lot x").result;
+        assert!(answer.is_ok(), "{answer:?} after {:?}", dropped.elapsed());
+    }
+}
+
 #[test]
 fn planned_stop_lets_an_open_transaction_commit_and_exits_cleanly() {
     let platform = start_platform();
--- a/crates/standins/src/lines/platform.rs
+++ b/crates/standins/src/lines/platform.rs
@@ -162,6 +162,12 @@
         self.shared.set_alive(id, true);
     }
 
+    /// Deletes the entry of a member, as when it lapses while the store is away. The member goes
+    /// on.
+    pub fn drop_entry(&self, id: &str) {
+        self.shared.store.put(MEMBERS_TABLE, id, None);
+    }
+
     /// Name of the primary of the group with this index.
     pub fn primary(&self, group: usize) -> String {
         self.group(group).primary().to_owned()
