Soak: judge every answer about a database that comes and goes, in overlapping faults

Now every daemon is asked for the database all the time, also while it is suspended. NODB, or a statement that is run, is a violation if a configuration acknowledged 3 s before the request says otherwise; NODB at all times, a run unless no daemon could follow the store.

--- a/crates/soak/src/caller.rs
+++ b/crates/soak/src/caller.rs
@@ -29,6 +29,8 @@
     pub(crate) groups: usize,
     pub(crate) history: Rc<RefCell<History>>,
     pub(crate) rng: ChaCha8Rng,
+    /// Whether a session is used until it breaks or is closed.
+    keeps_sessions: bool,
     requests: u64,
     last_number: u64,
     /// For each group, the acknowledged numbers and when they were acknowledged.
@@ -63,6 +65,7 @@
             groups,
             history,
             rng,
+            keeps_sessions: number.is_multiple_of(3),
             requests: 0,
             last_number: 0,
             acknowledged: vec![BTreeMap::new(); groups],
@@ -96,7 +99,9 @@
     ) -> Option<()> {
         let text = format!("SET tag {}", self.name);
         self.execute(session, &text).await.1?.ok()?;
-        for _ in 0..self.rng.random_range(1..MAX_SESSION_STATEMENTS) {
+        let statements = self.rng.random_range(1..MAX_SESSION_STATEMENTS);
+        let statements = if self.keeps_sessions { u64::MAX } else { statements };
+        for _ in 0..statements {
             if *stop.borrow() {
                 return Some(());
             }
--- a/crates/soak/src/deployment.rs
+++ b/crates/soak/src/deployment.rs
@@ -32,6 +32,7 @@
     groups: usize,
     /// Whether the newest configuration contains the extra database.
     has_extra_database: bool,
+    is_store_down: bool,
 }
 
 /// A daemon's process, its files, and its link to the platform (store and cloud API).
@@ -43,6 +44,8 @@
     /// Address of the listener for callers.
     pub(crate) callers: SocketAddr,
     platform_link: FaultProxy,
+    /// Whether the process is suspended.
+    is_suspended: bool,
     /// Number of active faults that keep the daemon stopped.
     active_kills: u32,
     /// Earliest time of the next start; `None` while the process runs.
@@ -70,6 +73,7 @@
             members: Vec::new(),
             groups: options.groups,
             has_extra_database: false,
+            is_store_down: false,
         };
         for (id, addr) in members {
             let proxy = FaultProxy::start(addr).await?;
@@ -107,6 +111,11 @@
         ("extra", self.has_extra_database)
     }
 
+    /// Whether some daemon can follow the changes of the store.
+    pub(crate) fn is_store_followed(&self) -> bool {
+        !self.is_store_down && self.daemons.iter().any(Daemon::can_follow_store)
+    }
+
     pub(crate) async fn inject(&mut self, fault: Fault) -> Result<(), SoakError> {
         match fault {
             Fault::Kill(daemon) => self.daemons[daemon].kill()?,
@@ -139,7 +148,10 @@
                 self.steer(&TestCmd::Crash(self.members[member].0.clone())).await?;
             }
             Fault::PrimaryCrash(group) => self.steer(&TestCmd::CrashPrimary(group)).await?,
-            Fault::StoreDown => self.steer(&TestCmd::StoreDown(true)).await?,
+            Fault::StoreDown => {
+                self.is_store_down = true;
+                self.steer(&TestCmd::StoreDown(true)).await?;
+            }
             Fault::LoseAnswers(count) => self.steer(&TestCmd::LoseAnswers(count)).await?,
             Fault::Forget => self.steer(&TestCmd::Forget).await?,
             Fault::Lag(millis) => self.steer(&TestCmd::LagMs(millis)).await?,
@@ -184,7 +196,10 @@
                     self.steer(&TestCmd::Restart(id.clone())).await?;
                 }
             }
-            Fault::StoreDown => self.steer(&TestCmd::StoreDown(false)).await?,
+            Fault::StoreDown => {
+                self.is_store_down = false;
+                self.steer(&TestCmd::StoreDown(false)).await?;
+            }
             Fault::LoseAnswers(_) => self.steer(&TestCmd::LoseAnswers(0)).await?,
             Fault::Lag(_) => self.steer(&TestCmd::LagMs(DEFAULT_LAG_MS)).await?,
             Fault::Terminate(_) | Fault::Hangup(_) | Fault::Forget | Fault::Configure => {}
@@ -286,13 +301,23 @@
             log: options.logs.join(format!("{name}.log")),
             callers,
             platform_link,
+            is_suspended: false,
             active_kills: 0,
             start_at: Some(Instant::now()),
             stop_requested: false,
         })
     }
 
+    fn can_follow_store(&self) -> bool {
+        self.process.is_some() && !self.is_suspended && !self.platform_link.is_faulty()
+    }
+
     fn signal(&mut self, signal: Signal) -> Result<(), SoakError> {
+        match signal {
+            Signal::STOP => self.is_suspended = true,
+            Signal::CONT => self.is_suspended = false,
+            _ => {}
+        }
         match &mut self.process {
             Some(process) => Ok(process.signal(signal)?),
             None => Ok(()),
@@ -330,6 +355,7 @@
         if self.process.is_none() && self.active_kills == 0 && due {
             let settings = self.settings.to_string_lossy();
             let args = ["--settings", &settings];
+            self.is_suspended = false;
             self.process = Some(Process::start(&self.program, &args, &self.log)?);
             (self.start_at, self.stop_requested) = (None, false);
         }
--- a/crates/soak/src/history.rs
+++ b/crates/soak/src/history.rs
@@ -1,5 +1,7 @@
 use std::{collections::BTreeMap, time::Duration};
 
+use crate::config_history::ConfigHistory;
+
 /// Replies that the callers of one run received, and the violations found.
 #[derive(Debug, Default)]
 pub(crate) struct History {
@@ -10,6 +12,8 @@
     /// Requests that got no response: time since the request was sent, index of the daemon,
     /// and request ID.
     pub(crate) interrupted: Vec<(Duration, usize, String)>,
+    /// Changes of the extra database.
+    pub(crate) config: ConfigHistory,
     pub(crate) statements: u64,
     pub(crate) successes: u64,
 }
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -8,6 +8,8 @@
 
 mod caller;
 mod check;
+mod config_history;
+mod config_prober;
 mod deployment;
 mod fault;
 mod history;
--- a/crates/soak/src/proxy.rs
+++ b/crates/soak/src/proxy.rs
@@ -74,6 +74,11 @@
         Ok(FaultProxy { addr, link_fault })
     }
 
+    /// Whether connections are disturbed at present.
+    pub(crate) fn is_faulty(&self) -> bool {
+        self.link_fault.borrow().mode != Mode::PassThrough
+    }
+
     pub(crate) fn set(&self, link_fault: LinkFault) {
         // Sending cannot fail: the accept loop holds a receiver.
         let _ = self.link_fault.send(link_fault);
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -16,6 +16,7 @@
 use crate::{
     caller::Caller,
     check,
+    config_prober::ConfigProber,
     deployment::Deployment,
     fault::{self, Fault},
     history::History,
@@ -106,7 +107,13 @@
         let caller = Caller::new(number, options.seed, addrs.clone(), options.groups, history);
         tokio::task::spawn_local(caller.run(stopped.clone()))
     });
-    let callers: Vec<_> = callers.collect();
+    let mut callers: Vec<_> = callers.collect();
+    let prober = ConfigProber {
+        daemons: addrs.clone(),
+        database: deployment.extra_database().0,
+        history: Rc::clone(&history),
+    };
+    callers.push(tokio::task::spawn_local(prober.run(stop.subscribe())));
     let faults = run_faults(options, &mut deployment, &history).await?;
     let recovery =
         wait_until_serving(&mut deployment, &history, &addrs, options.groups, RECOVERY_TIMEOUT)
@@ -152,11 +159,21 @@
     let started = Instant::now();
     for (at, fault, is_start) in steps {
         while started.elapsed() < at {
+            if !deployment.is_store_followed() {
+                history.borrow_mut().config.record_unfollowed();
+            }
             restart_daemons(deployment, history)?;
             time::sleep(POLL_INTERVAL).await;
         }
         if is_start {
+            if fault == Fault::Configure {
+                let exists = !deployment.extra_database().1;
+                history.borrow_mut().config.begin_change(exists);
+            }
             deployment.inject(fault).await?;
+            if fault == Fault::Configure {
+                history.borrow_mut().config.acknowledge_change();
+            }
         } else {
             deployment.revert(fault).await?;
         }
