PostgreSQL edition: deny a name only by a table that is known to be recent

The control task tells the data thread when the platform, asked at a given time, had no newer table, in the same queue as tables. After 2 s without, an unknown name is answered 57P03 (cannot connect now), as is one that the table has lost in an open session.

Test: no_name_is_denied_while_the_platform_is_down failed before (3D000 for 6 s), passes. Not covered: this edition's clock does not count a suspension of the VM; listed as open.

--- a/crates/daemon/src/control/task.rs
+++ b/crates/daemon/src/control/task.rs
@@ -127,6 +127,7 @@
     fn handle_event(&mut self, event: ControlEvent) {
         match event {
             ControlEvent::Polled { asked_at, rows } => {
+                self.send(Order::TableConfirmed { asked_at });
                 self.merge_rows(rows);
                 let mut actions = Vec::new();
                 self.homes.confirmed(&self.vms, asked_at, &mut actions);
--- a/crates/daemon/src/data.rs
+++ b/crates/daemon/src/data.rs
@@ -104,6 +104,9 @@
                     logs::event("table", &serde_json::json!({ "version": version }));
                 }
             }
+            Order::TableConfirmed { asked_at } => {
+                self.cx.directory.borrow_mut().confirm_table(asked_at);
+            }
             Order::Members { group, record } => self.set_members(&group, record),
             Order::Leadership { group, event } => self.lead(&group, event),
             Order::Route { group, place } => self.route(&group, place),
--- a/crates/daemon/src/orders.rs
+++ b/crates/daemon/src/orders.rs
@@ -17,6 +17,8 @@
         version: u64,
         table: Arc<Table>,
     },
+    /// The platform, asked at this time, had no newer table than the last one that was sent.
+    TableConfirmed { asked_at: Time },
     /// The platform has a new record of a group's members.
     Members { group: GroupId, record: MembersRecord },
     /// Event for a group's election.
--- a/crates/daemon/src/session/directory.rs
+++ b/crates/daemon/src/session/directory.rs
@@ -1,18 +1,24 @@
 use std::{collections::BTreeMap, sync::Arc};
 
-use base::{FastMap, GroupId, Rank, Time};
+use base::{FastMap, GroupId, Rank, Span, Time};
 use membership::{Place, Takeover};
 use platform::MembersRecord;
 use table::{Policy, Table};
 
 use crate::group::GroupHandle;
 
+/// Age up to which the table can show that a name does not exist: several polls, and still within
+/// the few seconds in which a new table must be in force.
+const DENIAL_MAX_AGE: Span = Span::from_millis(2_000);
+
 /// Routing state of this daemon: the table, which maps names to groups, and what
 /// is known of each group.
 #[derive(Debug, Default)]
 pub(crate) struct Directory {
     version: u64,
     table: Option<Arc<Table>>,
+    /// Latest moment at which the table is known to have been the newest one.
+    table_confirmed_at: Time,
     groups: FastMap<GroupId, GroupEntry>,
 }
 
@@ -49,6 +55,17 @@
         self.table.as_ref()
     }
 
+    /// Records that the platform, asked at `asked_at`, had no newer table.
+    pub(crate) fn confirm_table(&mut self, asked_at: Time) {
+        self.table_confirmed_at = self.table_confirmed_at.max(asked_at);
+    }
+
+    /// Whether the table is so recent that it can show that a name does not exist.
+    pub(crate) fn is_table_recent(&self, now: Time) -> bool {
+        self.table_confirmed_at > Time::default()
+            && now.since(self.table_confirmed_at) < DENIAL_MAX_AGE
+    }
+
     pub(crate) fn group(&self, id: &GroupId) -> Option<&GroupEntry> {
         self.groups.get(id)
     }
--- a/crates/daemon/src/session/run.rs
+++ b/crates/daemon/src/session/run.rs
@@ -288,6 +288,10 @@
         return Err((sqlstate::CANNOT_CONNECT_NOW, message));
     };
     let Some(group) = table.group(name) else {
+        if !directory.is_table_recent(cx.clock.now()) {
+            let message = format!("cannot tell at present whether {name:?} exists");
+            return Err((sqlstate::CANNOT_CONNECT_NOW, message));
+        }
         let message = format!("no database group answers to the name {name:?}");
         return Err((sqlstate::INVALID_CATALOG_NAME, message));
     };
--- a/crates/daemon/src/session/serve.rs
+++ b/crates/daemon/src/session/serve.rs
@@ -50,8 +50,16 @@
             return self.fail(sqlstate::FEATURE_NOT_SUPPORTED, message, NOT_RUN, synced);
         }
         let Some((key, policy)) = self.policy(plan) else {
-            let message = format!("no database group answers to {:?} any more", self.profile.name);
-            return self.fail(sqlstate::INVALID_CATALOG_NAME, &message, NOT_RUN, synced);
+            let name = &self.profile.name;
+            let is_recent = self.cx.directory.borrow().is_table_recent(self.cx.clock.now());
+            let (code, message) = if is_recent {
+                let message = format!("no database group answers to {name:?} any more");
+                (sqlstate::INVALID_CATALOG_NAME, message)
+            } else {
+                let message = format!("cannot tell at present whether {name:?} exists");
+                (sqlstate::CANNOT_CONNECT_NOW, message)
+            };
+            return self.fail(code, &message, NOT_RUN, synced);
         };
         let wait_ms = self.profile.wait_ms.unwrap_or(self.cx.timing.wait_ms);
         let deadline = self.cx.clock.now() + Span::from_millis(wait_ms);
--- a/crates/e2e/tests/failures.rs
+++ b/crates/e2e/tests/failures.rs
@@ -1,15 +1,20 @@
 //! Failures of members, daemons and the platform, end to end.
 
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use e2e::{Caller, TestEnv, describe_error};
 use peers::{CallError, GroupReport};
+use tokio::time;
 use trial::Options;
 
 /// Attempts before a test gives up. Each attempt waits as long as the daemon's time limits allow.
 const MAX_ATTEMPTS: u32 = 50;
 const GROUP: &str = "base-prensa-1";
 
+/// Time within which an accepted table must be in force.
+const OUTDATED_AFTER: Duration = Duration::from_secs(6);
+const POLL_INTERVAL: Duration = Duration::from_millis(20);
+
 async fn start_with_table_lots(options: &Options) -> (TestEnv, Caller) {
     let env = TestEnv::start(options);
     let clerk = env.caller(1, "clerk", "orders").await;
@@ -104,6 +109,31 @@
     }
 }
 
+/// A table that adds the name may have been accepted meanwhile.
+#[tokio::test]
+async fn no_name_is_denied_while_the_platform_is_down() {
+    let env = TestEnv::start(&Options::default());
+    env.caller(1, "clerk", "orders").await;
+    assert_eq!(refusal_of_unknown_name(&env).await, "3D000");
+    env.platform().faults(serde_json::json!({ "down": true })).await;
+    let refusal = async {
+        while refusal_of_unknown_name(&env).await == "3D000" {
+            time::sleep(POLL_INTERVAL).await;
+        }
+        refusal_of_unknown_name(&env).await
+    };
+    let refusal = time::timeout(OUTDATED_AFTER, refusal).await;
+    assert_eq!(refusal.as_deref(), Ok("57P03"));
+}
+
+/// SQLSTATE with which the first daemon refuses a session for a name that is in no table.
+async fn refusal_of_unknown_name(env: &TestEnv) -> String {
+    let addr = env.cluster.addrs()[0];
+    let refused = Caller::connect(addr, "clerk", "clerk", "unknown", "").await.err();
+    let code = refused.as_ref().and_then(|error| error.code());
+    code.expect("a refusal with a code").code().to_owned()
+}
+
 #[tokio::test]
 async fn the_change_of_primary_waits_for_the_platform_and_then_happens() {
     let (env, clerk) = start_with_table_lots(&Options::default()).await;
