--- a/crates/soak/src/fault.rs
+++ b/crates/soak/src/fault.rs
@@ -17,7 +17,7 @@
 /// Ranges of the time between two changes of the configuration, planned operations and
 /// standstills, in ms. Some changes last longer than the users allow them to take, others not.
 const CHANGE_INTERVAL_MS: (u64, u64) = (400, 6_000);
-const SIGNAL_INTERVAL_MS: (u64, u64) = (1_500, 6_000);
+const OPERATION_INTERVAL_MS: (u64, u64) = (1_500, 6_000);
 const STANDSTILL_INTERVAL_MS: (u64, u64) = (1_000, 4_000);
 
 /// A failure or a planned operation. Daemons, members and groups are given by index, sets of
@@ -72,24 +72,34 @@
     pub(crate) fault: Fault,
 }
 
-/// Chooses the faults of a run. They may overlap. Changes of the configuration, standstills and
-/// signals come in series of their own beside the others.
+/// Chooses the faults of a run. They may overlap. Changes of the configuration, planned operations
+/// and standstills come in series of their own beside the others.
 pub(crate) fn schedule(options: &Options, rng: &mut ChaCha8Rng) -> Vec<ScheduledFault> {
     let mut faults = mixed_faults(options, rng);
-    let daemon = |rng: &mut ChaCha8Rng| rng.random_range(0..options.daemons);
-    let mut series = |interval_ms: (u64, u64), choose: &dyn Fn(&mut ChaCha8Rng) -> Fault| {
-        let mut at_ms = rng.random_range(0..interval_ms.1);
-        while at_ms < options.seconds * 1_000 {
-            let (at, fault) = (Duration::from_millis(at_ms), choose(rng));
-            let duration = Duration::from_millis(rng.random_range(DURATION_MS.0..DURATION_MS.1));
-            faults.push(ScheduledFault { at, duration, fault });
-            at_ms += rng.random_range(interval_ms.0..interval_ms.1);
-        }
-    };
-    series(CHANGE_INTERVAL_MS, &|_| Fault::Configure);
-    series(SIGNAL_INTERVAL_MS, &|rng| planned_operation(options, rng));
+    faults.extend(series(options, rng, CHANGE_INTERVAL_MS, |_| Fault::Configure));
+    let operation = |rng: &mut ChaCha8Rng| planned_operation(options, rng);
+    faults.extend(series(options, rng, OPERATION_INTERVAL_MS, operation));
     if !options.is_planned_only() {
-        series(STANDSTILL_INTERVAL_MS, &|rng| Fault::Pause(daemon(rng)));
+        let standstill = |rng: &mut ChaCha8Rng| Fault::Pause(rng.random_range(0..options.daemons));
+        faults.extend(series(options, rng, STANDSTILL_INTERVAL_MS, standstill));
+    }
+    faults
+}
+
+/// Faults of one kind, with random intervals between their starts.
+fn series(
+    options: &Options,
+    rng: &mut ChaCha8Rng,
+    interval_ms: (u64, u64),
+    choose: impl Fn(&mut ChaCha8Rng) -> Fault,
+) -> Vec<ScheduledFault> {
+    let mut faults = Vec::new();
+    let mut at_ms = rng.random_range(0..interval_ms.1);
+    while at_ms < options.seconds * 1_000 {
+        let (at, fault) = (Duration::from_millis(at_ms), choose(rng));
+        let duration = Duration::from_millis(rng.random_range(DURATION_MS.0..DURATION_MS.1));
+        faults.push(ScheduledFault { at, duration, fault });
+        at_ms += rng.random_range(interval_ms.0..interval_ms.1);
     }
     faults
 }
--- a/crates/soak/tests/seeds.rs
+++ b/crates/soak/tests/seeds.rs
@@ -13,6 +13,10 @@
 /// stayed open until its daemon's process exited, which interrupted a request.
 const NEVER_IDLE_SESSION: (u64, Size) = (332, Size { seconds: 20, daemons: 6, callers: 24 });
 
+/// A daemon that had stood still denied a database, and ran statements, by a configuration that had
+/// been replaced meanwhile.
+const STANDSTILLS_DURING_CHANGES: (u64, Size) = (1, Size { seconds: 15, daemons: 6, callers: 24 });
+
 /// Options that determine the faults of a run, together with the seed.
 #[derive(Clone, Copy)]
 struct Size {
@@ -57,7 +61,8 @@
 #[test]
 fn short_runs_have_no_violations() {
     let program_dir = program_dir();
-    for (seed, size) in [(PLANNED, SHORT), (MIXED, SHORT), NEVER_IDLE_SESSION] {
+    let found = [NEVER_IDLE_SESSION, STANDSTILLS_DURING_CHANGES];
+    for (seed, size) in [(PLANNED, SHORT), (MIXED, SHORT)].into_iter().chain(found) {
         check(seed, size, program_dir.clone());
     }
 }
