Name what another carrier says of its copy, and spell out the two reads of a confirmation

Readability only: PeerCopy instead of a pair, OwnCopy instead of a type that is called as the derive, the first read of a table no longer written as lost history. No behaviour changes; the tests of succession and entry pass.

--- a/crates/entry/src/control/heartbeat.rs
+++ b/crates/entry/src/control/heartbeat.rs
@@ -1,5 +1,5 @@
 use base::Span;
-use succession::{Copied, PeerCopies, PrimaryHealth};
+use succession::{Copied, PeerCopy, PrimaryHealth};
 
 /// Heartbeat between daemons, sent as one UDP datagram.
 #[derive(Clone, Debug)]
@@ -45,12 +45,11 @@
 
 impl Heartbeat {
     /// The sender's copies of the tables by which daemons refuse and route requests.
-    pub(crate) fn copies(&self) -> PeerCopies {
-        let copies = |table: Copied| {
-            let age = self.copy_ages_ms[table as usize];
-            (self.newest[table as usize], age.map(Span::from_millis))
-        };
-        Copied::ALL.map(copies)
+    pub(crate) fn copies(&self) -> [PeerCopy; 2] {
+        Copied::ALL.map(|table| PeerCopy {
+            newest: self.newest[table as usize],
+            age: self.copy_ages_ms[table as usize].map(Span::from_millis),
+        })
     }
 }
 
--- a/crates/entry/src/control/task/carrier_role.rs
+++ b/crates/entry/src/control/task/carrier_role.rs
@@ -18,8 +18,8 @@
     messages::{CarrierChoice, Order},
 };
 
-/// A carrier is not ready when its grant, or the lease of its copies, expires within this time. The platform takes two
-/// failed probes to send callers to other daemons.
+/// A carrier is not ready when its grant, or the lease of its copies, expires within this time. The
+/// platform takes two failed probes to send callers to other daemons.
 const READY_GRANT_MARGIN: Span = Span::from_millis(500);
 /// How long a carrier must have been without a sufficient grant before it sends idle
 /// sessions to other daemons: earlier, the platform would send them here again.
--- a/crates/entry/src/control/task/heartbeats.rs
+++ b/crates/entry/src/control/task/heartbeats.rs
@@ -219,16 +219,16 @@
         tokio::spawn(async move {
             let asked_at = clock::now();
             let changes = match known {
-                Some(version) => store.feed(table, version, Duration::ZERO).await,
-                None => Err(CallError::HistoryGone),
+                Some(version) => Some(store.feed(table, version, Duration::ZERO).await),
+                None => None,
             };
-            let (result, complete) = match changes {
-                Err(CallError::HistoryGone) => (store.rows(table).await, true),
-                result => (result, false),
-            };
-            let event = match result {
-                Ok(rows) => Event::Rows { table, rows, complete, asked_at },
-                Err(error) => Event::StoreFailed { table, error },
+            let event = match changes {
+                Some(Ok(rows)) => Event::Rows { table, rows, complete: false, asked_at },
+                None | Some(Err(CallError::HistoryGone)) => match store.rows(table).await {
+                    Ok(rows) => Event::Rows { table, rows, complete: true, asked_at },
+                    Err(error) => Event::StoreFailed { table, error },
+                },
+                Some(Err(error)) => Event::StoreFailed { table, error },
             };
             // Fails only during shutdown.
             let _ = events.unbounded_send(event);
--- a/crates/entry/src/standstill.rs
+++ b/crates/entry/src/standstill.rs
@@ -13,6 +13,7 @@
 }
 
 impl StandstillDetector {
+    /// Starts to observe a thread that runs at `now`.
     pub(crate) fn new(now: Time) -> StandstillDetector {
         StandstillDetector { last_observed: now, resumed_at: now }
     }
--- a/crates/succession/src/copy_lease.rs
+++ b/crates/succession/src/copy_lease.rs
@@ -20,13 +20,18 @@
 }
 
 impl Copied {
-    /// All copied tables, in the order of [`PeerCopies`].
+    /// All copied tables; arrays with an element for each are in this order.
     pub const ALL: [Copied; 2] = [Copied::Config, Copied::Members];
 }
 
-/// The copies of another carrier as it describes them: the version of the newest row, and how long
-/// ago the store last confirmed the copy, `None` if never.
-pub type PeerCopies = [(u64, Option<Span>); 2];
+/// Another carrier's copy of a table, as it describes it.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct PeerCopy {
+    /// Version of the newest row.
+    pub newest: u64,
+    /// How long ago the copy was last known to be complete; `None` if it never was.
+    pub age: Option<Span>,
+}
 
 /// What is known of how recent this daemon's copies of the store's tables are.
 ///
@@ -36,15 +41,16 @@
 /// been answered since, by the store or by a carrier whose copy is the same.
 #[derive(Debug, Default)]
 pub struct CopyLease {
-    copies: [Copy; 2],
+    copies: [OwnCopy; 2],
     /// Questions to which the other carriers reported no newer rows.
     peers: PeerAnswers,
 }
 
 #[derive(Clone, Copy, Debug, Default)]
-struct Copy {
+struct OwnCopy {
     /// Version of the newest row.
     newest: u64,
+    /// Latest moment at which the copy is known to have been complete.
     confirmed_at: Option<Time>,
     /// Version of a row that another carrier has and this daemon lacks, and when this daemon
     /// first learned of such a row.
@@ -77,10 +83,10 @@
         now: Time,
         name: &str,
         asked_at: Option<Time>,
-        theirs: PeerCopies,
+        theirs: [PeerCopy; 2],
     ) {
         let mut is_behind = false;
-        for (copy, (newest, age)) in self.copies.iter_mut().zip(theirs) {
+        for (copy, PeerCopy { newest, age }) in self.copies.iter_mut().zip(theirs) {
             if newest > copy.newest {
                 is_behind = true;
                 let since = copy.missing.map_or(now, |(_, since)| since);
@@ -129,7 +135,7 @@
     }
 }
 
-impl Copy {
+impl OwnCopy {
     fn confirm(&mut self, at: Time) {
         self.confirmed_at = self.confirmed_at.max(Some(at));
     }
--- a/crates/succession/src/lib.rs
+++ b/crates/succession/src/lib.rs
@@ -1,7 +1,8 @@
 //! Failover of groups whose members accept role changes only through the platform's
 //! failover call, the request to promote a member. One daemon, the holder of the failover
 //! lease, makes that call. Every daemon uses a
-//! primary only while it has evidence that no failover is in progress.
+//! primary only while it has evidence that no failover is in progress, and its copies of the
+//! configuration and the members only while it has evidence that they are recent.
 //!
 //! **Architecture invariant:** this crate uses no sockets, clocks or wire formats. The
 //! caller passes times of a clock that keeps running while the VM is suspended.
@@ -18,7 +19,7 @@
 pub use crate::{
     assessment::{Assessment, PrimaryHealth, assess},
     carrier_directory::{CarrierDirectory, CarrierSlots},
-    copy_lease::{COPY_WITHOUT_STORE, Copied, CopyLease, PeerCopies},
+    copy_lease::{COPY_WITHOUT_STORE, Copied, CopyLease, PeerCopy},
     failover::{Action, Candidate, CandidateStatus, Failover, FailoverView, PromotionOutcome},
     followed_tables::{Feed, FollowedTables, FollowerView},
     grants::{
--- a/crates/succession/tests/copies.rs
+++ b/crates/succession/tests/copies.rs
@@ -1,19 +1,19 @@
 //! Which evidence shows that the copies of the configuration and of the members are recent.
 
 use base::{Span, Time};
-use succession::{COPY_WITHOUT_STORE, Copied, CopyLease, GRANT_DURATION, PeerCopies};
+use succession::{COPY_WITHOUT_STORE, Copied, CopyLease, GRANT_DURATION, PeerCopy};
 
 const AGE: Span = Span::from_millis(400);
 
 /// Copies of a carrier that the store has not answered since it started.
-const WITHOUT_STORE: PeerCopies = [(5, None), (5, None)];
+const WITHOUT_STORE: [PeerCopy; 2] = [PeerCopy { newest: 5, age: None }; 2];
 
 fn at(millis: u64) -> Time {
     Time::from_micros(millis * 1_000)
 }
 
-fn copies(newest: u64) -> PeerCopies {
-    [(newest, Some(AGE)), (newest, Some(AGE))]
+fn copies(newest: u64) -> [PeerCopy; 2] {
+    [PeerCopy { newest, age: Some(AGE) }; 2]
 }
 
 /// The lease of a carrier, one of three, that has read version 5 of both tables at 1 s.
