Soak: ask for the newest configuration once planned stops are over

Traced: daemon 0 got SIGTERM 2.6 s before the check (its log: 'stopping', then statements of open sessions), so it accepted no session any more, which is what a planned stop is to do. The check took it for a daemon in service.

--- a/crates/soak/src/deployment.rs
+++ b/crates/soak/src/deployment.rs
@@ -111,6 +111,11 @@
         ("extra", self.has_extra_database)
     }
 
+    /// Whether a daemon that was killed or told to stop has not been started again.
+    pub(crate) fn is_stop_pending(&self) -> bool {
+        self.daemons.iter().any(|daemon| daemon.stop_requested)
+    }
+
     /// Whether some daemon can follow the changes of the store.
     pub(crate) fn is_store_followed(&self) -> bool {
         !self.is_store_down && self.daemons.iter().any(Daemon::can_follow_store)
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -115,9 +115,14 @@
     };
     callers.push(tokio::task::spawn_local(prober.run(stop.subscribe())));
     let faults = run_faults(options, &mut deployment, &history).await?;
+    let faults_ended = Instant::now();
+    if !wait_for_restarts(&mut deployment, &history).await? {
+        let violation = format!("stop: not every daemon restarted within {RECOVERY_TIMEOUT:?}");
+        history.borrow_mut().violations.push(violation);
+    }
+    let limit = RECOVERY_TIMEOUT.saturating_sub(faults_ended.elapsed());
     let recovery =
-        wait_until_serving(&mut deployment, &history, &addrs, options.groups, RECOVERY_TIMEOUT)
-            .await?;
+        wait_until_serving(&mut deployment, &history, &addrs, options.groups, limit).await?;
     if recovery.is_none() {
         let violation = format!("recovery: not every daemon served within {RECOVERY_TIMEOUT:?}");
         history.borrow_mut().violations.push(violation);
@@ -194,6 +199,23 @@
     Ok(())
 }
 
+/// Waits until every daemon that was told to stop has exited and been started again. Until then it
+/// serves sessions that it has, but accepts no others. Returns whether all did so in time.
+async fn wait_for_restarts(
+    deployment: &mut Deployment,
+    history: &RefCell<History>,
+) -> Result<bool, SoakError> {
+    let started = Instant::now();
+    while deployment.is_stop_pending() {
+        if started.elapsed() > RECOVERY_TIMEOUT {
+            return Ok(false);
+        }
+        time::sleep(POLL_INTERVAL).await;
+        restart_daemons(deployment, history)?;
+    }
+    Ok(true)
+}
+
 /// Reports interrupted requests. In a run with only planned operations, no request that a daemon
 /// has accepted may be interrupted.
 fn check_interrupted(history: &RefCell<History>) {
