--- a/crates/entry/src/control/tables.rs
+++ b/crates/entry/src/control/tables.rs
@@ -62,6 +62,15 @@
         updates
     }
 
+    /// Number of rows that are older than the cached ones.
+    pub(crate) fn outdated(&self, table: &'static str, rows: &Rows) -> usize {
+        let Some(table) = self.tables.get(table) else { return 0 };
+        let is_outdated = |row: &&Row| {
+            table.rows.get(&row.key).is_some_and(|cached| row.version < cached.version)
+        };
+        rows.rows.iter().filter(is_outdated).count()
+    }
+
     /// Highest version of a row that was received of a table; 0 if there was none.
     pub(crate) fn newest(&self, table: &'static str) -> u64 {
         self.tables.get(table).map_or(0, |table| table.newest)
@@ -94,7 +103,7 @@
         let rows = snapshot.rows.into_iter();
         let rows = rows.map(|(key, value, version)| Row { key, value: Some(value), version });
         // The store's clock is known only from the store itself.
-        Rows { rows: rows.collect(), version: snapshot.as_of, clock_ms: 0 }
+        Rows { rows: rows.collect(), version: snapshot.as_of, era: 0, clock_ms: 0 }
     }
 }
 
--- a/crates/entry/src/control/task.rs
+++ b/crates/entry/src/control/task.rs
@@ -103,6 +103,8 @@
     store_lost: bool,
     /// When the store last answered a request.
     store_answered_at: Option<Time>,
+    /// Era of the store in its latest response; 0 before the first.
+    store_era: u64,
     /// The store's clock in its latest response, in milliseconds; 0 before the first.
     store_ms: u64,
     /// When that response arrived.
@@ -230,6 +232,7 @@
             members_followed: FollowedSince::default(),
             store_lost: false,
             store_answered_at: None,
+            store_era: 0,
             store_ms: 0,
             store_ms_at: Time::default(),
             stopping: false,
@@ -245,6 +248,16 @@
                 if rows.clock_ms >= self.store_ms {
                     (self.store_ms, self.store_ms_at) = (rows.clock_ms, clock::now());
                 }
+                if rows.era != self.store_era {
+                    logs::event(
+                        "store era",
+                        &serde_json::json!({"era": rows.era, "previous": self.store_era,
+                            "table": table, "version": rows.version, "complete": complete,
+                            "cached": self.tables.as_of(table), "clock_ms": rows.clock_ms}),
+                    );
+                    self.store_era = rows.era;
+                    self.shared.set_store_era(rows.era);
+                }
                 if self.store_lost {
                     self.store_lost = false;
                     logs::event("dependency regained", &serde_json::json!({"store": table}));
--- a/crates/entry/src/control/task/rows.rs
+++ b/crates/entry/src/control/task/rows.rs
@@ -17,6 +17,7 @@
         tables::TableSnapshot,
     },
     messages::Order,
+    shared::Counter,
 };
 
 /// How long a member is kept after its entry has disappeared. Entries that expire during an
@@ -42,6 +43,15 @@
     }
 
     pub(super) fn apply_rows(&mut self, table: &'static str, rows: Rows, complete: bool) {
+        let outdated = self.tables.outdated(table, &rows);
+        if outdated > 0 {
+            self.shared.count(Counter::OutdatedRows);
+            logs::event(
+                "outdated rows",
+                &serde_json::json!({"table": table, "rows": outdated, "era": rows.era,
+                    "version": rows.version, "newest": self.tables.newest(table)}),
+            );
+        }
         let updates = self.tables.merge(table, rows, complete);
         if !updates.is_empty() {
             self.behind_since = None;
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -15,6 +15,7 @@
     grant_expiry: AtomicU64,
     copies_expiry: AtomicU64,
     config_version: AtomicU64,
+    store_era: AtomicU64,
     /// In microseconds; 0 if the store has never confirmed the configuration.
     config_confirmed_at: AtomicU64,
     ready: AtomicBool,
@@ -39,10 +40,12 @@
     StoreFailures,
     /// Times that this process did not run for a while.
     Standstills,
+    /// Responses with rows that are older than the cached ones.
+    OutdatedRows,
 }
 
 impl Counter {
-    const ALL: [(Counter, &str); 12] = [
+    const ALL: [(Counter, &str); 13] = [
         (Counter::Sessions, "sessions"),
         (Counter::Statements, "statements"),
         (Counter::Refused, "refused"),
@@ -55,6 +58,7 @@
         (Counter::StoreCalls, "store_calls"),
         (Counter::StoreFailures, "store_failures"),
         (Counter::Standstills, "standstills"),
+        (Counter::OutdatedRows, "outdated_rows"),
     ];
     const COUNT: usize = Counter::ALL.len();
 }
@@ -66,6 +70,7 @@
             grant_expiry: AtomicU64::new(0),
             copies_expiry: AtomicU64::new(0),
             config_version: AtomicU64::new(0),
+            store_era: AtomicU64::new(0),
             config_confirmed_at: AtomicU64::new(0),
             ready: AtomicBool::new(false),
             peers_suffice: AtomicBool::new(false),
@@ -118,6 +123,11 @@
         self.config_version.store(version, Ordering::Relaxed);
     }
 
+    /// Records the era of the store, for the metrics.
+    pub(crate) fn set_store_era(&self, era: u64) {
+        self.store_era.store(era, Ordering::Relaxed);
+    }
+
     /// Whether the readiness probe reports ready, so that the platform sends callers here.
     pub(crate) fn is_ready(&self) -> bool {
         self.ready.load(Ordering::Relaxed)
@@ -153,6 +163,8 @@
         text.push_str(&format!("corianderwharf_copies_left_ms {copies_left}\n"));
         let version = self.config_version();
         text.push_str(&format!("corianderwharf_config_version {version}\n"));
+        let era = self.store_era.load(Ordering::Relaxed);
+        text.push_str(&format!("corianderwharf_store_era {era}\n"));
         if let Some(at) = self.config_confirmed_at() {
             let age = now.since(at).as_millis();
             text.push_str(&format!("corianderwharf_config_age_ms {age}\n"));
