--- a/crates/entry/tests/platform.rs
+++ b/crates/entry/tests/platform.rs
@@ -7,12 +7,13 @@
     time::{Duration, Instant},
 };
 
-use support::{Client, Daemon, Link, Peer, daemon, databases, start_platform};
+use support::{
+    CONFIG_TIMEOUT, Client, Daemon, Link, Peer, client, daemon, databases, eventually,
+    start_platform, wait_for_writes,
+};
 
 /// Longest time that the users allow for a failover.
 const FAILOVER_TIMEOUT: Duration = Duration::from_secs(6);
-/// Longest time until a new configuration is applied.
-const CONFIG_TIMEOUT: Duration = Duration::from_secs(3);
 /// Twice the duration of the grant that an answer of the store gives to use a primary.
 const TWO_GRANTS: Duration = Duration::from_secs(3);
 /// Longest time until a live member's entry is back after the store's return.
@@ -21,27 +22,6 @@
 const GRACE: Duration = Duration::from_secs(6);
 /// Part of the grace period reserved for the last statement that was accepted.
 const LAST_STATEMENT_RESERVE: Duration = Duration::from_secs(1);
-const POLL_INTERVAL: Duration = Duration::from_millis(20);
-
-fn eventually(limit: Duration, what: &str, mut condition: impl FnMut() -> bool) {
-    let end = Instant::now() + limit;
-    while !condition() {
-        assert!(Instant::now() < end, "{what}: not within {limit:?}");
-        thread::sleep(POLL_INTERVAL);
-    }
-}
-
-fn client(daemon: &Daemon, database: &str) -> Client {
-    Client::connect(daemon.callers, database).expect("a session")
-}
-
-/// Waits until the daemon knows the primary and may use it.
-fn wait_for_writes(daemon: &Daemon) {
-    let mut client = client(daemon, "orders");
-    eventually(Duration::from_secs(15), "a first write", || {
-        client.query("STORE warm up").result.is_ok()
-    });
-}
 
 #[test]
 fn statements_transactions_values_and_names_work() {
--- a/crates/entry/tests/support/mod.rs
+++ b/crates/entry/tests/support/mod.rs
@@ -1,15 +1,27 @@
 //! Starts the daemon process, a client and the stand-in of the users' platform.
 
+// Each test program uses a part of this module.
+#![allow(dead_code)]
+
 mod client;
 pub mod daemon;
 mod link;
 mod peer;
 
+use std::{
+    thread,
+    time::{Duration, Instant},
+};
+
 use base::Span;
 use standins::lines::{Options, Platform};
 
 pub use self::{client::Client, daemon::Daemon, link::Link, peer::Peer};
 
+/// Longest time until a new configuration is applied.
+pub const CONFIG_TIMEOUT: Duration = Duration::from_secs(3);
+const POLL_INTERVAL: Duration = Duration::from_millis(20);
+
 /// Starts a platform with one group of three members; `svc1-m1` is the primary.
 pub fn start_platform() -> Platform {
     let options = Options {
@@ -24,3 +36,29 @@
 pub fn databases(names: &[&str]) -> Vec<Vec<String>> {
     vec![names.iter().map(|name| (*name).to_owned()).collect()]
 }
+
+/// Waits until a condition holds.
+///
+/// # Panics
+///
+/// If that takes longer than `limit`.
+pub fn eventually(limit: Duration, what: &str, mut condition: impl FnMut() -> bool) {
+    let end = Instant::now() + limit;
+    while !condition() {
+        assert!(Instant::now() < end, "{what}: not within {limit:?}");
+        thread::sleep(POLL_INTERVAL);
+    }
+}
+
+/// Opens a session.
+pub fn client(daemon: &Daemon, database: &str) -> Client {
+    Client::connect(daemon.callers, database).expect("a session")
+}
+
+/// Waits until the daemon knows the primary and may use it.
+pub fn wait_for_writes(daemon: &Daemon) {
+    let mut client = client(daemon, "orders");
+    eventually(Duration::from_secs(15), "a first write", || {
+        client.query("STORE warm up").result.is_ok()
+    });
+}
--- a/crates/standins/src/lines/control.rs
+++ b/crates/standins/src/lines/control.rs
@@ -6,7 +6,7 @@
 use axum::{
     Json, Router,
     extract::State,
-    http::StatusCode,
+    http::{HeaderMap, StatusCode},
     routing::{get, post},
 };
 use base::Span;
@@ -15,6 +15,10 @@
 use super::platform::Platform;
 use crate::clock::now;
 
+/// Request headers that name the holder of the failover lease and its fencing token.
+const HOLDER_HEADER: &str = "X-Corianderwharf-Lease-Holder";
+const TOKEN_HEADER: &str = "X-Corianderwharf-Fence-Token";
+
 /// A command of a test to the stand-in: the JSON body of `POST /standin/steer`.
 #[derive(Clone, Debug)]
 #[derive(serde::Deserialize, serde::Serialize)]
@@ -29,6 +33,13 @@
     /// Discards the store's change history, so that reading changes after an older version is
     /// answered with 410.
     Forget,
+    /// Copies the store's contents.
+    CopyStore,
+    /// Restores the store from the last copy, so that all later writes are lost. The operator and
+    /// the members do not write again before [`TestCmd::Rewrite`].
+    RestoreStore,
+    /// Makes the operator and the members write again what they wrote last.
+    Rewrite,
     /// Sets the replication lag of all groups, in milliseconds.
     LagMs(u64),
     /// Index of a group, and whether a primary that is replaced is cut off from the other members,
@@ -51,10 +62,18 @@
         .route("/standin/members", get(members))
         .route("/standin/commits", get(commits))
         .route("/standin/primaries", get(primaries))
+        .route("/standin/fence-violations", get(fence_violations))
         .with_state(platform)
 }
 
-async fn fail_over(State(platform): State<Platform>, Json(body): Json<Value>) -> StatusCode {
+async fn fail_over(
+    State(platform): State<Platform>,
+    headers: HeaderMap,
+    Json(body): Json<Value>,
+) -> StatusCode {
+    let header = |name| headers.get(name).and_then(|value| value.to_str().ok()).unwrap_or_default();
+    let Ok(token) = header(TOKEN_HEADER).parse() else { return StatusCode::BAD_REQUEST };
+    platform.shared.record_fence(header(HOLDER_HEADER), token);
     let field = |name: &str| body[name].as_str().unwrap_or_default();
     let promoted = platform.shared.fail_over(field("service"), field("id"));
     if promoted { StatusCode::OK } else { StatusCode::CONFLICT }
@@ -71,6 +90,9 @@
             let mut state = platform.shared.store.state();
             state.rows.discarded_version = state.rows.version;
         }
+        TestCmd::CopyStore => platform.copy_store(),
+        TestCmd::RestoreStore => platform.restore_store(),
+        TestCmd::Rewrite => platform.rewrite(),
         TestCmd::LagMs(millis) => {
             for group in 0..platform.shared.groups.len() {
                 platform.group(group).set_lag(Span::from_millis(millis));
@@ -94,6 +116,11 @@
     Json((0..platform.shared.groups.len()).map(|group| platform.primary(group)).collect())
 }
 
+/// Failover calls whose fencing token was lower than an earlier one, or that of another holder.
+async fn fence_violations(State(platform): State<Platform>) -> Json<Vec<String>> {
+    Json(platform.fence_violations())
+}
+
 /// For each group, the requests whose commits are in the primary's log (`kept`) and those whose
 /// commits a failover has discarded (`lost`), each with its number of writes.
 async fn commits(State(platform): State<Platform>) -> Json<Value> {
--- a/crates/standins/src/lines/group.rs
+++ b/crates/standins/src/lines/group.rs
@@ -83,6 +83,13 @@
         }
     }
 
+    /// Cuts replaced primaries off from the group and lets `id` act as one of the first term.
+    pub fn set_acting_primary(&mut self, now: Time, id: &str) {
+        self.partitioned = true;
+        let Some(member) = self.members.get_mut(id) else { return };
+        (member.is_primary, member.term, member.replaced_at) = (true, 1, Some(now));
+    }
+
     /// Name of the primary of the newest term.
     pub fn primary(&self) -> &str {
         let mut members = self.members.iter();
--- a/crates/standins/src/lines/platform.rs
+++ b/crates/standins/src/lines/platform.rs
@@ -7,7 +7,7 @@
 };
 
 use base::Span;
-use serde_json::json;
+use serde_json::{Value, json};
 use tokio::{
     net::{TcpListener, TcpStream},
     sync::watch,
@@ -54,7 +54,23 @@
     pub(crate) store: Store,
     pub(crate) groups: Vec<(String, Arc<Mutex<Group>>)>,
     members: Mutex<BTreeMap<String, Member>>,
-    config: Mutex<u64>,
+    config: Mutex<Config>,
+    fences: Mutex<Fences>,
+}
+
+/// The newest configuration.
+#[derive(Debug, Default)]
+struct Config {
+    version: u64,
+    value: Value,
+}
+
+/// Lease holders and fencing tokens of the failover calls.
+#[derive(Debug, Default)]
+struct Fences {
+    /// Highest token so far, and the holder that used it first.
+    highest: (u64, String),
+    violations: Vec<String>,
 }
 
 /// A member of a group, which has a listener of its own.
@@ -66,6 +82,8 @@
     advertised_addr: SocketAddr,
     alive: watch::Sender<bool>,
     born: u64,
+    /// Number of entries that it has written since it was started.
+    sequence: u64,
 }
 
 impl Platform {
@@ -92,7 +110,8 @@
             store: Store::default(),
             groups: groups.collect(),
             members: Mutex::default(),
-            config: Mutex::new(0),
+            config: Mutex::default(),
+            fences: Mutex::default(),
         });
         for (service, group) in &shared.groups {
             for id in member_ids(service) {
@@ -115,8 +134,8 @@
 
     /// Stores a new configuration with these databases for each group, and returns its version.
     pub fn configure(&self, databases: &[Vec<String>]) -> u64 {
-        let mut version = lock(&self.shared.config);
-        *version += 3;
+        let mut newest = lock(&self.shared.config);
+        newest.version += 3;
         let routes = self.shared.groups.iter().zip(databases).flat_map(|((service, _), names)| {
             names.iter().map(move |name| {
                 let kind = if name.starts_with("orders") { "primary" } else { "own" };
@@ -130,10 +149,42 @@
             .groups
             .iter()
             .map(|(service, _)| json!({"name": service, "max_conns": 21, "sync_replicas": 0}));
-        let config = json!({"version": *version, "routes": routes.collect::<Vec<_>>(),
+        let config = json!({"version": newest.version, "routes": routes.collect::<Vec<_>>(),
             "services": services.collect::<Vec<_>>(), "limits": {"tx_idle_ms": 3_000}});
         self.shared.store.put(OPERATOR_TABLE, "config", Some(&config));
-        *version
+        newest.value = config;
+        newest.version
+    }
+
+    /// Copies the store's contents.
+    pub fn copy_store(&self) {
+        self.shared.store.take_copy();
+    }
+
+    /// Restores the store from the last copy. What was written since is lost.
+    pub fn restore_store(&self) {
+        self.shared.store.restore();
+    }
+
+    /// Makes the operator and the members write again what they wrote last.
+    pub fn rewrite(&self) {
+        self.shared.store.put(OPERATOR_TABLE, "config", Some(&lock(&self.shared.config).value));
+        for (id, _) in self.shared.members() {
+            self.shared.write_entry(&id);
+        }
+    }
+
+    /// Failover calls whose fencing token was lower than an earlier one, or that of another
+    /// holder.
+    pub fn fence_violations(&self) -> Vec<String> {
+        lock(&self.shared.fences).violations.clone()
+    }
+
+    /// Lets a replaced primary act as one again, cut off from the other members, so that it does
+    /// not notice that it was replaced.
+    pub fn set_acting_primary(&self, group: usize, id: &str) {
+        self.group(group).set_acting_primary(now(), id);
+        self.shared.write_entry(id);
     }
 
     /// Sets whether the store answers every call with 503.
@@ -202,6 +253,7 @@
             advertised_addr: addr,
             alive,
             born: unix_time_ms(),
+            sequence: 0,
         };
         lock(&self.members).insert(id.to_owned(), member);
         self.write_entry(id);
@@ -218,8 +270,9 @@
 
     /// Writes a member's current entry to the store, or deletes it if the member is stopped.
     fn write_entry(&self, id: &str) {
-        let members = lock(&self.members);
-        let Some(member) = members.get(id) else { return };
+        let mut members = lock(&self.members);
+        let Some(member) = members.get_mut(id) else { return };
+        member.sequence += 1;
         let alive = *member.alive.borrow();
         let is_primary = self
             .groups
@@ -228,7 +281,7 @@
         let role = if is_primary { "primary" } else { "replica" };
         let entry = json!({"service": member.service, "addr": member.advertised_addr.to_string(),
             "zone": "a", "version": "v1", "capacity": 3, "state": "ready",
-            "warmup_left_ms": 0, "db_role": role, "sequence": 1, "born": member.born});
+            "warmup_left_ms": 0, "db_role": role, "sequence": member.sequence, "born": member.born});
         self.store.put(MEMBERS_TABLE, id, alive.then_some(&entry));
     }
 
@@ -242,7 +295,7 @@
             // The send fails only without a receiver: no connection has to be closed then.
             let _ = member.alive.send(alive);
             if alive {
-                member.born = unix_time_ms();
+                (member.born, member.sequence) = (unix_time_ms(), 0);
             }
         }
         self.write_entry(id);
@@ -261,6 +314,19 @@
         lock(&self.members).iter().map(|(id, member)| (id.clone(), member.addr)).collect()
     }
 
+    /// Checks the fencing token of a failover call.
+    pub(crate) fn record_fence(&self, holder: &str, token: u64) {
+        let mut fences = lock(&self.fences);
+        let (highest, by) = fences.highest.clone();
+        if token < highest || (token == highest && holder != by) {
+            let violation = format!("fence: {holder} sent {token} after {by} had sent {highest}");
+            fences.violations.push(violation);
+        }
+        if token > highest {
+            fences.highest = (token, holder.to_owned());
+        }
+    }
+
     /// Promotes a member. Returns false, and changes nothing, if it is unknown or stopped.
     pub(crate) fn fail_over(&self, service: &str, id: &str) -> bool {
         let is_alive = lock(&self.members).get(id).is_some_and(|member| *member.alive.borrow());
--- a/crates/standins/src/store/rows.rs
+++ b/crates/standins/src/store/rows.rs
@@ -5,7 +5,7 @@
 
 /// The rows of the store. Every transaction increments the store's version and assigns it to the
 /// rows that it changes.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub(crate) struct Rows {
     pub(crate) version: u64,
     /// Version up to which the change history is discarded; feeds can start from here at the
--- a/crates/standins/src/store/service.rs
+++ b/crates/standins/src/store/service.rs
@@ -8,7 +8,7 @@
     Json, Router,
     body::Bytes,
     extract::{Path, Query, Request, State},
-    http::StatusCode,
+    http::{HeaderValue, StatusCode},
     middleware::{self, Next},
     response::{IntoResponse, Response},
     routing::{get, post, put},
@@ -34,11 +34,18 @@
     state: Arc<Mutex<StoreState>>,
 }
 
+/// Response header with the number of times that the store has been restored.
+const ERA_HEADER: &str = "Store-Era";
+
 /// Contents, faults and counters of the store.
 #[derive(Debug, Default)]
 pub(crate) struct StoreState {
     pub(crate) rows: Rows,
     objects: BTreeMap<String, Bytes>,
+    /// Number of times that the store has been restored from an older copy.
+    era: u64,
+    /// Copy to restore, taken by [`Store::take_copy`].
+    copy: (Rows, BTreeMap<String, Bytes>),
     pub(crate) faults: Faults,
     counts: Counts,
 }
@@ -68,6 +75,20 @@
         let _ = self.state().rows.apply(transaction);
     }
 
+    /// Copies the present contents, for a later [`Store::restore`].
+    pub(crate) fn take_copy(&self) {
+        let mut state = self.state();
+        state.copy = (state.rows.clone(), state.objects.clone());
+    }
+
+    /// Replaces the contents with the last copy; what was written since is lost, and its versions
+    /// are assigned again. The clock goes on.
+    pub(crate) fn restore(&self) {
+        let mut state = self.state();
+        (state.rows, state.objects) = state.copy.clone();
+        state.era += 1;
+    }
+
     /// Writes an object, as the operator does.
     pub(crate) fn put_object(&self, id: &str, text: &str) {
         self.state().objects.insert(id.to_owned(), Bytes::copy_from_slice(text.as_bytes()));
@@ -100,7 +121,13 @@
         store.state().counts.refused += 1;
         return StatusCode::SERVICE_UNAVAILABLE.into_response();
     }
-    next.run(req).await
+    let era = store.state().era;
+    let mut res = next.run(req).await;
+    if store.state().era != era {
+        return StatusCode::SERVICE_UNAVAILABLE.into_response();
+    }
+    res.headers_mut().insert(ERA_HEADER, HeaderValue::from(era));
+    res
 }
 
 fn row((key, value, version): (&str, Option<&str>, u64), table: &str) -> Value {
@@ -148,7 +175,7 @@
             if state.faults.down {
                 return StatusCode::SERVICE_UNAVAILABLE.into_response();
             }
-            if after < state.rows.discarded_version {
+            if after < state.rows.discarded_version || after > state.rows.version {
                 return StatusCode::GONE.into_response();
             }
             let rows = state.rows.after(table, after);
