Order versions of the store by era first

Cause: the store gives versions out again. Rows of the new era had versions that were not greater than the cached ones (22 and 23 against 23), so the cache ignored them, for good. Evidence: 'outdated rows' (22, cached 23) in the log of curitiba-1; the row with 23 is equal. Fix: a version carries the era of the answer that it comes from in its upper bits, so that whatever is read in a later era is newer; an answer to a feed or to a transaction from another era is no answer to it (410, or unknown outcome). All that compares versions (cache, grants, heartbeats, row sync, both editions) is mended by that, without changes of its own. The store's clock is followed anew in each era. Ruled out: the feed (410 leads to a complete read), the configuration's own version.

--- a/crates/entry/src/control/tables.rs
+++ b/crates/entry/src/control/tables.rs
@@ -78,7 +78,7 @@
 
     /// Version of the store that the cached rows of a table reflect; `None` if all of its rows have
     /// never been read.
-    pub(crate) fn as_of(&self, table: &'static str) -> Option<u64> {
+    pub(crate) fn as_of(&self, table: &str) -> Option<u64> {
         self.tables.get(table).map(|table| table.as_of)
     }
 
@@ -103,7 +103,7 @@
         let rows = snapshot.rows.into_iter();
         let rows = rows.map(|(key, value, version)| Row { key, value: Some(value), version });
         // The store's clock is known only from the store itself.
-        Rows { rows: rows.collect(), version: snapshot.as_of, era: 0, clock_ms: 0 }
+        Rows { rows: rows.collect(), version: snapshot.as_of, clock_ms: 0 }
     }
 }
 
--- a/crates/entry/src/control/tables/tests.rs
+++ b/crates/entry/src/control/tables/tests.rs
@@ -11,7 +11,7 @@
         value: Some(b"entry".to_vec()),
         version: *version,
     };
-    Rows { rows: keys.iter().map(row).collect(), version, era: 0, clock_ms: 0 }
+    Rows { rows: keys.iter().map(row).collect(), version, clock_ms: 0 }
 }
 
 /// Merges rows and returns the keys of those that changed the cache, deleted ones with a minus.
--- a/crates/entry/src/control/task.rs
+++ b/crates/entry/src/control/task.rs
@@ -2,7 +2,7 @@
 
 use adapter::{
     CallError, Config, FailoverClient, Group, MEMBERS_TABLE, MemberEntry, MemberRole, MemberState,
-    OPERATOR_TABLE, Settings, StoreClient,
+    OPERATOR_TABLE, Rows, Settings, StoreClient,
 };
 use base::{FastMap, MemberId, Span, Time};
 use futures_channel::mpsc;
@@ -103,7 +103,7 @@
     store_lost: bool,
     /// When the store last answered a request.
     store_answered_at: Option<Time>,
-    /// Era of the store in its latest response; 0 before the first.
+    /// Newest era of the store that it has answered in; 0 before its first answer.
     store_era: u64,
     /// The store's clock in its latest response, in milliseconds; 0 before the first.
     store_ms: u64,
@@ -245,19 +245,10 @@
         match event {
             Event::Rows { table, rows, complete, asked_at } => {
                 self.store_answered_at = Some(clock::now());
+                self.observe_era(table, &rows);
                 if rows.clock_ms >= self.store_ms {
                     (self.store_ms, self.store_ms_at) = (rows.clock_ms, clock::now());
                 }
-                if rows.era != self.store_era {
-                    logs::event(
-                        "store era",
-                        &serde_json::json!({"era": rows.era, "previous": self.store_era,
-                            "table": table, "version": rows.version, "complete": complete,
-                            "cached": self.tables.as_of(table), "clock_ms": rows.clock_ms}),
-                    );
-                    self.store_era = rows.era;
-                    self.shared.set_store_era(rows.era);
-                }
                 if self.store_lost {
                     self.store_lost = false;
                     logs::event("dependency regained", &serde_json::json!({"store": table}));
@@ -318,6 +309,23 @@
         self.update_grant();
     }
 
+    /// Records the store's era, and starts to follow its clock anew when it has changed.
+    fn observe_era(&mut self, table: &str, rows: &Rows) {
+        let era = adapter::era(rows.version);
+        if era <= self.store_era {
+            return;
+        }
+        logs::event(
+            "store era",
+            &serde_json::json!({"era": era, "previous": self.store_era, "table": table,
+                "version": rows.version, "cached": self.tables.as_of(table),
+                "clock_ms": rows.clock_ms}),
+        );
+        self.store_era = era;
+        self.shared.set_store_era(era);
+        self.store_ms = 0;
+    }
+
     fn tick(&mut self) {
         let now = clock::now();
         self.detect_standstill(now);
--- a/crates/entry/src/control/task/rows.rs
+++ b/crates/entry/src/control/task/rows.rs
@@ -48,7 +48,7 @@
             self.shared.count(Counter::OutdatedRows);
             logs::event(
                 "outdated rows",
-                &serde_json::json!({"table": table, "rows": outdated, "era": rows.era,
+                &serde_json::json!({"table": table, "rows": outdated, "era": adapter::era(rows.version),
                     "version": rows.version, "newest": self.tables.newest(table)}),
             );
         }
--- a/crates/entry/tests/support/mod.rs
+++ b/crates/entry/tests/support/mod.rs
@@ -1,7 +1,7 @@
 //! Starts the daemon process, a client and the stand-in of the users' platform.
 
 // Each test program uses a part of this module.
-#![allow(dead_code)]
+#![allow(dead_code, unused_imports)]
 
 mod client;
 pub mod daemon;
--- a/crates/platform/src/error.rs
+++ b/crates/platform/src/error.rs
@@ -31,9 +31,10 @@
         match error {
             CallError::Conflict => PlatformError::Conflict,
             CallError::Undecodable { .. } => PlatformError::Malformed { message },
-            CallError::NoResponse { .. } | CallError::Refused { .. } | CallError::HistoryGone => {
-                PlatformError::Unavailable { message }
-            }
+            CallError::NoResponse { .. }
+            | CallError::Refused { .. }
+            | CallError::HistoryGone
+            | CallError::Restored => PlatformError::Unavailable { message },
         }
     }
 }
