Void leases and writes of earlier eras of the store; fencing tokens above all earlier ones

Cause: the lease's row and its version are lost, and both are given out again: a holder by the copy is none, the next token is not above those used, and a late write whose condition is a version of the lost writes may hold by chance. Fix: a row era/N, created by the first write in an era, which deletes those of earlier eras. Every write of the daemons depends on it. Before it exists no daemon has written to the copy, so conditions on versions mean what they say; afterwards no write of an earlier era can hold. A lease names its era and ends with it; the first token of an era is above all of earlier ones, whoever held them.

--- a/crates/entry/src/control/coordination.rs
+++ b/crates/entry/src/control/coordination.rs
@@ -1,13 +1,16 @@
-use adapter::{Row, StoreKey};
-use base::FastMap;
+use adapter::{Row, StoreKey, StoreTransaction};
+use base::{FastMap, FastSet};
 use serde::de::DeserializeOwned;
-use succession::{CarrierRecord, LeaseRecord, PrimaryRecord};
+use succession::{CarrierRecord, EraRecord, LeaseRecord, PrimaryRecord};
+
+use crate::control::coordinator::encode;
 
 /// Table in the store in which the daemons coordinate.
 pub(crate) const STATE_TABLE: &str = "corianderwharf";
 const LEASE_KEY: &str = "duty";
 const PRIMARY_KEY_PREFIX: &str = "lead/";
 const CARRIER_KEY_PREFIX: &str = "carrier/";
+const ERA_KEY_PREFIX: &str = "era/";
 
 /// Rows of the state table as last read from the store or from another daemon.
 #[derive(Debug, Default)]
@@ -18,8 +21,15 @@
     pub(crate) carriers_version: u64,
     /// Whether all rows have been read at least once.
     pub(crate) loaded: bool,
-    /// The failover lease, the duty to make failover calls, and the version of its row.
-    pub(crate) duty: Option<(LeaseRecord, u64)>,
+    /// Era of the store in which the rows were read.
+    pub(crate) era: u64,
+    /// Record of that era, and the version of its row.
+    era_record: Option<(EraRecord, u64)>,
+    /// Keys of the records of other eras.
+    other_eras: FastSet<String>,
+    /// The failover lease, the duty to make failover calls, and the version of its row. It may
+    /// have ended with an earlier era ([`CoordinationState::lease`]).
+    duty: Option<(LeaseRecord, u64)>,
     /// Primaries by group, each with the version of its row.
     pub(crate) primary_records: FastMap<String, (PrimaryRecord, u64)>,
     /// Carriers by carrier slot, each with the version of its row.
@@ -42,6 +52,56 @@
         StoreKey { table: STATE_TABLE, key: LEASE_KEY }
     }
 
+    /// Begins an era of the store, whose rows follow.
+    pub(crate) fn begin_era(&mut self, era: u64) {
+        self.era = era;
+        self.era_record = None;
+    }
+
+    /// The failover lease, if it is one of the present era, and the version of its row.
+    pub(crate) fn lease(&self) -> Option<(&LeaseRecord, u64)> {
+        let (lease, version) = self.duty.as_ref()?;
+        (lease.era == self.era).then_some((lease, *version))
+    }
+
+    /// A transaction that claims the failover lease, after the one in the store, and the lease.
+    pub(crate) fn claim_lease(
+        &self,
+        holder: &str,
+        run: u64,
+        store_ms: u64,
+    ) -> (StoreTransaction, LeaseRecord) {
+        let (previous, version) = match &self.duty {
+            Some((lease, version)) => (Some(lease), *version),
+            None => (None, 0),
+        };
+        let lease = LeaseRecord::new(previous, self.era, holder.to_owned(), run);
+        let key = CoordinationState::lease_key();
+        let change = self.transaction(store_ms);
+        (change.with_expected(key, version).with_put(key, &encode(&lease)), lease)
+    }
+
+    /// A transaction that has no effect in another era of the store: it depends on the record of
+    /// the present one, or creates it and deletes the others. `store_ms` is the store's clock.
+    ///
+    /// The versions of other rows do not suffice as conditions, since they are given out again.
+    /// Before the record exists, no daemon has written to the copy that the store came back from,
+    /// and afterwards none can write that depends on an earlier record.
+    pub(crate) fn transaction(&self, store_ms: u64) -> StoreTransaction {
+        let key = format!("{ERA_KEY_PREFIX}{}", self.era);
+        let place = StoreKey { table: STATE_TABLE, key: &key };
+        let change = StoreTransaction::new(self.era);
+        if let Some((_, version)) = &self.era_record {
+            return change.with_expected(place, *version);
+        }
+        let is_first_write = self.version == 0;
+        let record = EraRecord { restored_at_ms: (!is_first_write).then_some(store_ms) };
+        let change = change.with_expected(place, 0).with_put(place, &encode(&record));
+        self.other_eras
+            .iter()
+            .fold(change, |change, key| change.with_delete(StoreKey { table: STATE_TABLE, key }))
+    }
+
     /// Key of the row that names the primary of a group.
     pub(crate) fn primary_record_key(group: &str) -> String {
         format!("{PRIMARY_KEY_PREFIX}{group}")
@@ -99,9 +159,20 @@
     }
 
     fn apply_row(&mut self, row: &Row, changed: &mut Vec<StateChange>) {
-        self.version = self.version.max(row.version);
         let (value, version) = (row.value.as_deref(), row.version);
-        if row.key == LEASE_KEY {
+        // The version of a row that is only missing from a list says when the list was read.
+        if value.is_some() {
+            self.version = self.version.max(version);
+        }
+        if let Some(era) = row.key.strip_prefix(ERA_KEY_PREFIX) {
+            if era == self.era.to_string() {
+                self.era_record = decode(&row.key, value).map(|record| (record, version));
+            } else if value.is_some() {
+                self.other_eras.insert(row.key.clone());
+            } else {
+                self.other_eras.remove(&row.key);
+            }
+        } else if row.key == LEASE_KEY {
             self.duty = decode(&row.key, value).map(|duty| (duty, version));
             changed.push(StateChange::Lease);
         } else if let Some(group) = row.key.strip_prefix(PRIMARY_KEY_PREFIX) {
@@ -137,3 +208,6 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/entry/src/control/coordinator.rs
+++ b/crates/entry/src/control/coordinator.rs
@@ -47,6 +47,7 @@
     store: StoreClient,
     failover_client: FailoverClient,
     events: mpsc::UnboundedSender<Event>,
+    /// When this daemon started, or noticed that the store has begun a new era.
     started: Time,
     /// Since when this daemon has held the lease.
     holder_since: Option<Time>,
@@ -137,6 +138,12 @@
         }
     }
 
+    /// Handles the begin of an era of the store, in which no daemon holds the lease yet.
+    pub(crate) fn era_changed(&mut self) {
+        self.started = clock::now();
+        self.lease_changed(None);
+    }
+
     /// Handles a failed write: delays the next one, so that the rows show first whether the
     /// failed one took effect all the same.
     pub(crate) fn write_failed(&mut self) {
@@ -182,12 +189,12 @@
     ) {
         let now = clock::now();
         if self.holder_since.is_none() {
-            self.try_take_over(now, coordination, peers, running_for);
+            self.try_take_over(now, coordination, peers, running_for, store_ms);
             return;
         }
         let carriers = CarrierRoster { vm: &self.vm, coordination, peers, store_ms }.entries();
         for group in groups {
-            self.advance_failover(now, coordination, peers, &carriers, group);
+            self.advance_failover(now, coordination, peers, &carriers, store_ms, group);
         }
     }
 
@@ -197,6 +204,7 @@
         coordination: &CoordinationState,
         peers: &Peers,
         running_for: Span,
+        store_ms: u64,
     ) {
         if !coordination.loaded
             || coordination.carrier(&self.vm).is_none()
@@ -211,8 +219,8 @@
             }
         }
         let stagger = Span::from_micros(TAKEOVER_STAGGER.as_micros() * preceding);
-        let (token, version) = match &coordination.duty {
-            Some((duty, version)) => {
+        match coordination.lease() {
+            Some((duty, _)) => {
                 let store_reachable_at = peers.store_reachable_at(&duty.holder, duty.run);
                 self.holder_store_reachable_at =
                     self.holder_store_reachable_at.max(store_reachable_at.unwrap_or_default());
@@ -223,19 +231,15 @@
                 if silence.min(running_for) < HOLDER_TIMEOUT + stagger {
                     return;
                 }
-                (duty.token + 1, *version)
             }
             None if now.since(self.started) < stagger + TAKEOVER_STAGGER => return,
-            None => (1, 0),
-        };
-        let record = LeaseRecord { holder: self.vm.clone(), run: self.run, token, confirmed: 0 };
+            None => {}
+        }
+        let (change, lease) = coordination.claim_lease(&self.vm, self.run, store_ms);
         logs::event(
             "claiming failover duty",
-            &serde_json::json!({"token": token, "reason": "no lease yet, or its holder restarted, is silent or cannot reach the store"}),
+            &serde_json::json!({"token": lease.token, "reason": "no lease in this era of the store, or its holder restarted, is silent or cannot reach the store"}),
         );
-        let change = StoreTransaction::default()
-            .with_expected(CoordinationState::lease_key(), version)
-            .with_put(CoordinationState::lease_key(), &encode(&record));
         self.write("duty", change);
     }
 
@@ -251,6 +255,7 @@
         coordination: &CoordinationState,
         peers: &Peers,
         carriers: &[RosterEntry],
+        store_ms: u64,
         group: &GroupView<'_>,
     ) {
         let record = coordination.primary_records.get(group.name);
@@ -288,7 +293,15 @@
             Some(Action::Write { .. }) if writing => {}
             Some(Action::Write { record: wanted, reason }) => {
                 let version = record.map_or(0, |(_, version)| *version);
-                self.write_primary_record(coordination, group.name, version, &wanted, reason);
+                let change = coordination.transaction(store_ms);
+                self.write_primary_record(
+                    coordination,
+                    change,
+                    group.name,
+                    version,
+                    &wanted,
+                    reason,
+                );
             }
             Some(Action::QueryStatus) => self.query_members(group, None),
             Some(Action::StepDown { member, term }) => {
@@ -298,7 +311,10 @@
                 );
                 self.query_members(group, Some((&member, term)));
             }
-            Some(Action::Promote { member }) => self.promote(coordination, group.name, member),
+            Some(Action::Promote { member }) => {
+                let confirmation = coordination.transaction(store_ms);
+                self.promote(coordination, confirmation, group.name, member);
+            }
             None => {}
         }
     }
@@ -331,12 +347,13 @@
     fn write_primary_record(
         &mut self,
         coordination: &CoordinationState,
+        change: StoreTransaction,
         group: &str,
         version: u64,
         record: &PrimaryRecord,
         reason: &str,
     ) {
-        let Some((_, duty)) = &coordination.duty else { return };
+        let Some((_, duty)) = coordination.lease() else { return };
         logs::event(
             "writing lead record",
             &serde_json::json!({"group": group, "primary": record.primary,
@@ -345,8 +362,8 @@
         );
         let key = CoordinationState::primary_record_key(group);
         let place = StoreKey { table: STATE_TABLE, key: &key };
-        let change = StoreTransaction::default()
-            .with_expected(CoordinationState::lease_key(), *duty)
+        let change = change
+            .with_expected(CoordinationState::lease_key(), duty)
             .with_expected(place, version)
             .with_put(place, &encode(record));
         self.write("lead", change);
@@ -379,16 +396,27 @@
     }
 
     /// Confirms the lease, then makes the failover call at once.
-    fn promote(&self, coordination: &CoordinationState, group: &str, member: String) {
-        let Some((duty, version)) = coordination.duty.clone() else { return };
+    fn promote(
+        &self,
+        coordination: &CoordinationState,
+        confirmation: StoreTransaction,
+        group: &str,
+        member: String,
+    ) {
+        let Some((duty, version)) = coordination.lease() else { return };
+        let confirmed = LeaseRecord { confirmed: duty.confirmed + 1, ..duty.clone() };
+        let confirmation = confirmation
+            .with_expected(CoordinationState::lease_key(), version)
+            .with_put(CoordinationState::lease_key(), &encode(&confirmed));
         let (store, client, events) =
             (self.store.clone(), self.failover_client.clone(), self.events.clone());
         let group = group.to_owned();
         tokio::spawn(async move {
-            let outcome = confirm_and_call(&store, &client, &duty, version, &group, &member).await;
+            let outcome =
+                confirm_and_call(&store, &client, &confirmation, &confirmed, &group, &member).await;
             logs::event(
                 "promotion",
-                &serde_json::json!({"group": group, "member": member, "token": duty.token,
+                &serde_json::json!({"group": group, "member": member, "token": confirmed.token,
                     "outcome": format!("{outcome:?}")}),
             );
             // Fails only during shutdown.
@@ -400,21 +428,17 @@
 async fn confirm_and_call(
     store: &StoreClient,
     client: &FailoverClient,
-    duty: &LeaseRecord,
-    version: u64,
+    confirmation: &StoreTransaction,
+    lease: &LeaseRecord,
     group: &str,
     member: &str,
 ) -> PromotionOutcome {
-    let confirmed = LeaseRecord { confirmed: duty.confirmed + 1, ..duty.clone() };
-    let change = StoreTransaction::default()
-        .with_expected(CoordinationState::lease_key(), version)
-        .with_put(CoordinationState::lease_key(), &encode(&confirmed));
     let asked_at = clock::now();
-    match store.apply(&change).await {
+    match store.apply(confirmation).await {
         Ok(_) if clock::now().since(asked_at) < CONFIRMATION_VALID_FOR => {}
         Ok(_) | Err(_) => return PromotionOutcome::Unknown,
     }
-    match client.fail_over(group, member, &duty.holder, duty.token).await {
+    match client.fail_over(group, member, &lease.holder, lease.token).await {
         Ok(Promotion::Accepted) => PromotionOutcome::Accepted,
         Ok(Promotion::Declined) => PromotionOutcome::Declined,
         Err(CallError::Refused { .. } | CallError::NoResponse { .. }) => PromotionOutcome::Unknown,
--- a/crates/entry/src/control/task.rs
+++ b/crates/entry/src/control/task.rs
@@ -358,13 +358,15 @@
     }
 
     fn steer(&mut self, now: Time) {
-        if !self.carries {
+        // The clock is unknown until the store has answered in its present era.
+        if !self.carries || self.store_ms == 0 {
             return;
         }
         let Some(config) = self.config.clone() else { return };
         let views: Vec<_> = config.groups.iter().map(|group| self.group_view(now, group)).collect();
         let running_for = self.standstill.running_for(now);
-        self.coordinator.tick(&self.coordination, &self.peers, running_for, self.store_ms, &views);
+        let store_ms = self.store_ms(now);
+        self.coordinator.tick(&self.coordination, &self.peers, running_for, store_ms, &views);
     }
 
     fn group_view<'a>(&self, now: Time, group: &'a Group) -> GroupView<'a> {
--- a/crates/entry/src/control/task/carrier_role.rs
+++ b/crates/entry/src/control/task/carrier_role.rs
@@ -51,8 +51,7 @@
             return;
         }
         let clock_age = now.since(self.store_ms_at);
-        // Extrapolated, since a daemon that follows no table does not hear from the store.
-        let store_ms = self.store_ms + clock_age.as_millis();
+        let store_ms = self.store_ms(now);
         let addr = SocketAddr::new(self.settings.callers.ip(), self.settings.ports.0);
         let record = CarrierRecord {
             vm: self.settings.vm.clone(),
@@ -101,11 +100,17 @@
         }
         let key = CoordinationState::carrier_key(&place);
         let row = StoreKey { table: STATE_TABLE, key: &key };
-        let change =
-            StoreTransaction::default().with_expected(row, version).with_put(row, &encode(&record));
+        let change = self.coordination.transaction(store_ms);
+        let change = change.with_expected(row, version).with_put(row, &encode(&record));
         self.write("carrier", change);
     }
 
+    /// The store's clock, in ms, extrapolated from its latest answer: a daemon that follows no
+    /// table does not hear from the store.
+    pub(super) fn store_ms(&self, now: Time) -> u64 {
+        self.store_ms + now.since(self.store_ms_at).as_millis()
+    }
+
     pub(super) fn write(&self, what: &'static str, change: StoreTransaction) {
         let (store, events) = (self.store.clone(), self.events.clone());
         tokio::spawn(async move {
@@ -149,8 +154,8 @@
         let record = CarrierRecord { since_ms: self.store_ms, gone: true, ..record.clone() };
         let key = CoordinationState::carrier_key(place);
         let row = StoreKey { table: STATE_TABLE, key: &key };
-        let change =
-            StoreTransaction::default().with_expected(row, version).with_put(row, &encode(&record));
+        let change = self.coordination.transaction(self.store_ms(now));
+        let change = change.with_expected(row, version).with_put(row, &encode(&record));
         logs::event("carrier expired", &serde_json::json!({"vm": vm}));
         let vm = vm.clone();
         self.peers.peers.remove(&vm);
--- a/crates/entry/src/control/task/rows.rs
+++ b/crates/entry/src/control/task/rows.rs
@@ -43,6 +43,11 @@
     }
 
     pub(super) fn apply_rows(&mut self, table: &'static str, rows: Rows, complete: bool) {
+        let era = adapter::era(rows.version);
+        if table == STATE_TABLE && era > self.coordination.era {
+            self.coordination.begin_era(era);
+            self.coordinator.era_changed();
+        }
         let outdated = self.tables.outdated(table, &rows);
         if outdated > 0 {
             self.shared.count(Counter::OutdatedRows);
@@ -183,7 +188,7 @@
             match changed {
                 StateChange::Lease => {
                     self.coordinator
-                        .lease_changed(self.coordination.duty.as_ref().map(|(duty, _)| duty));
+                        .lease_changed(self.coordination.lease().map(|(lease, _)| lease));
                 }
                 StateChange::Primary(group) => self.primary_changed(&group),
                 StateChange::Carriers => self.carriers_changed(),
--- a/crates/succession/src/lib.rs
+++ b/crates/succession/src/lib.rs
@@ -26,5 +26,5 @@
         CarrierState, GRANT_DURATION, GRANT_WITHOUT_STORE, PrimaryGrant, SETTLED_AFTER,
         is_majority_of_every_list, is_primary_unused,
     },
-    records::{CarrierRecord, LeaseRecord, PrimaryRecord},
+    records::{CarrierRecord, EraRecord, LeaseRecord, PrimaryRecord},
 };
--- a/crates/succession/src/records.rs
+++ b/crates/succession/src/records.rs
@@ -2,6 +2,20 @@
 
 use crate::grants::SETTLED_AFTER;
 
+/// Bits of a fencing token that count the holders within an era of the store; the era is above
+/// them.
+const TOKEN_ERA_SHIFT: u32 = 32;
+
+/// Record of an era of the store, which begins when the store comes back from an older copy. All
+/// writes of the daemons depend on the record of the era in which they read the rows.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+#[derive(serde::Deserialize, serde::Serialize)]
+pub struct EraRecord {
+    /// When a daemon first noticed the era, in ms of the store's clock; `None` if no daemon has
+    /// written to the store before, so that nothing can be lost.
+    pub restored_at_ms: Option<u64>,
+}
+
 /// The failover lease, which entitles one daemon at a time to make failover calls.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 #[derive(serde::Deserialize, serde::Serialize)]
@@ -10,10 +24,24 @@
     pub holder: String,
     /// Run of that daemon; a restarted daemon has to acquire the lease again.
     pub run: u64,
-    /// Fencing token: increases with each new holder.
+    /// Fencing token: increases with each new holder, also if the records of some are lost.
     pub token: u64,
     /// Counter that the holder increases each time it confirms the lease.
     pub confirmed: u64,
+    /// Era of the store in which the lease was acquired. It ends with the era.
+    #[serde(default)]
+    pub era: u64,
+}
+
+impl LeaseRecord {
+    /// The lease of a new holder, after that in the store.
+    ///
+    /// An older copy of the store lacks the latest leases, whose tokens must not be used again: the
+    /// first token of an era is above all tokens of earlier ones.
+    pub fn new(previous: Option<&LeaseRecord>, era: u64, holder: String, run: u64) -> LeaseRecord {
+        let last_token = previous.map_or(0, |lease| lease.token).max(era << TOKEN_ERA_SHIFT);
+        LeaseRecord { holder, run, token: last_token + 1, confirmed: 0, era }
+    }
 }
 
 /// The stored record of a group's primary, for groups whose members the platform promotes. The
