Order what the operator and the members write by their own numbers; a store that lost writes confirms nothing

Symptom: a daemon that starts after the store came back from an older copy denied a database of a lost, acknowledged configuration 76 ms after its start (NODB). In the cache, members that were draining or had left were ready again as soon as the copy was read. Cause: the rows of a copy are the newest by version, and the store's answer counted as proof that they are. Neither is so until the operator and the members have written again. Fix: a configuration has a version and a member's entry a start and a sequence of their own, which the loss does not touch. The cache goes by these: what it has and the copy lacks stays in force, is passed on to daemons that know only the copy, and is replaced by what its writer writes later. Heartbeats compare configurations by the operator's version. Until 2.3 s after an era was first noticed (the users state two seconds) the store's answers confirm no copy: a daemon that runs through goes on by the answers of the others, one that starts is not ready.

--- a/crates/entry/src/control/coordination.rs
+++ b/crates/entry/src/control/coordination.rs
@@ -58,6 +58,17 @@
         self.era_record = None;
     }
 
+    /// Whether the store, as of an answer in `era` at `store_ms` of its clock, has all that the
+    /// operator and the members have written. Without a record of the era this is so only if no
+    /// daemon has ever written to the store.
+    pub(crate) fn is_settled(&self, era: u64, store_ms: u64) -> bool {
+        let is_settled = match &self.era_record {
+            Some((record, _)) => record.is_settled(store_ms),
+            None => self.loaded && self.version == 0,
+        };
+        era == self.era && is_settled
+    }
+
     /// The failover lease, if it is one of the present era, and the version of its row.
     pub(crate) fn lease(&self) -> Option<(&LeaseRecord, u64)> {
         let (lease, version) = self.duty.as_ref()?;
--- a/crates/entry/src/control/heartbeat.rs
+++ b/crates/entry/src/control/heartbeat.rs
@@ -28,8 +28,9 @@
     pub(crate) echo_run: u64,
     /// Version up to which the sender applies the rows of the state table.
     pub(crate) version: u64,
-    /// Versions of the newest rows that the sender knows in the operator's table, the
-    /// members' table and the state table.
+    /// Version of the configuration that the sender has in force, and versions of the newest rows
+    /// that it knows in the members' table and the state table. The former is the operator's own:
+    /// the row's version goes up when the store comes back with an older configuration.
     pub(crate) newest: [u64; 3],
     /// How long ago the store last confirmed the sender's copies of the operator's and the
     /// members' table, in milliseconds; `None` if never, or if its version does not send this.
--- a/crates/entry/src/control/tables.rs
+++ b/crates/entry/src/control/tables.rs
@@ -1,5 +1,7 @@
-use adapter::{Row, Rows};
-use base::FastMap;
+use std::cmp::Ordering;
+
+use adapter::{OPERATOR_TABLE, Revision, Row, Rows};
+use base::{FastMap, FastSet};
 
 /// Cache of the rows of several tables, as last read from the store or from another daemon.
 #[derive(Debug, Default)]
@@ -10,7 +12,7 @@
 #[derive(Debug, Default)]
 struct CachedTable {
     /// Rows by key, including deleted ones.
-    rows: FastMap<String, Row>,
+    rows: FastMap<String, CachedRow>,
     /// Version of the store that the rows reflect.
     as_of: u64,
     /// Highest version of a row that was received. Rows that are only inferred to be deleted,
@@ -18,6 +20,13 @@
     newest: u64,
 }
 
+#[derive(Clone, Debug)]
+struct CachedRow {
+    row: Row,
+    /// Revision of the last value, also of a row that was deleted since.
+    revision: Option<Revision>,
+}
+
 /// All rows of a table, as sent to another daemon.
 #[derive(Clone, Debug)]
 #[derive(serde::Deserialize, serde::Serialize)]
@@ -37,13 +46,17 @@
     /// The cache reflects every change up to `as_of`. A row that is not cached although it is older
     /// has been deleted, and comes from a daemon or a response that has not noticed yet: it is
     /// ignored, or a member that has left would be used again.
-    pub(crate) fn merge(&mut self, table: &'static str, rows: Rows, complete: bool) -> Vec<Row> {
-        let table = self.tables.entry(table).or_default();
+    ///
+    /// The rows of an older copy of the store are newer by their versions, but not by their
+    /// [revisions](Revision): a value that the cache has and the copy lacks stays in force.
+    pub(crate) fn merge(&mut self, name: &'static str, rows: Rows, complete: bool) -> Vec<Row> {
+        let table = self.tables.entry(name).or_default();
         let mut updates = Vec::new();
-        if complete {
-            let listed: Vec<&str> = rows.rows.iter().map(|row| row.key.as_str()).collect();
-            for cached in table.rows.values_mut() {
-                let missing = !listed.contains(&cached.key.as_str());
+        // The configuration is replaced, never deleted.
+        if complete && name != OPERATOR_TABLE {
+            let listed: FastSet<&str> = rows.rows.iter().map(|row| row.key.as_str()).collect();
+            for CachedRow { row: cached, .. } in table.rows.values_mut() {
+                let missing = !listed.contains(cached.key.as_str());
                 if missing && cached.value.is_some() && cached.version <= rows.version {
                     *cached = Row { value: None, version: rows.version, ..cached.clone() };
                     updates.push(cached.clone());
@@ -51,11 +64,25 @@
             }
         }
         for row in rows.rows {
-            let cached_version = table.rows.get(&row.key).map_or(table.as_of, |it| it.version);
-            if row.version > cached_version {
+            let revision = Revision::new(name, &row);
+            let Some(cached) = table.rows.get_mut(&row.key) else {
+                if row.version > table.as_of {
+                    table.newest = table.newest.max(row.version);
+                    table.rows.insert(row.key.clone(), CachedRow { row: row.clone(), revision });
+                    updates.push(row);
+                }
+                continue;
+            };
+            let version = cached.row.version.max(row.version);
+            let is_superseded = cached.supersedes(&row, revision);
+            if row.version > cached.row.version {
                 table.newest = table.newest.max(row.version);
-                table.rows.insert(row.key.clone(), row.clone());
-                updates.push(row);
+            }
+            cached.row.version = version;
+            if !is_superseded {
+                cached.row.value.clone_from(&row.value);
+                cached.revision = revision.or(cached.revision);
+                updates.push(cached.row.clone());
             }
         }
         table.as_of = table.as_of.max(rows.version);
@@ -66,7 +93,7 @@
     pub(crate) fn outdated(&self, table: &'static str, rows: &Rows) -> usize {
         let Some(table) = self.tables.get(table) else { return 0 };
         let is_outdated = |row: &&Row| {
-            table.rows.get(&row.key).is_some_and(|cached| row.version < cached.version)
+            table.rows.get(&row.key).is_some_and(|cached| row.version < cached.row.version)
         };
         rows.rows.iter().filter(is_outdated).count()
     }
@@ -90,7 +117,9 @@
             rows: table
                 .rows
                 .values()
-                .filter_map(|row| Some((row.key.clone(), row.value.clone()?, row.version)))
+                .filter_map(|CachedRow { row, .. }| {
+                    Some((row.key.clone(), row.value.clone()?, row.version))
+                })
                 .collect(),
         };
         let tables = self.tables.iter();
@@ -98,6 +127,31 @@
     }
 }
 
+impl CachedRow {
+    /// Whether the cached row stays in force when `row` is received.
+    fn supersedes(&self, row: &Row, revision: Option<Revision>) -> bool {
+        let is_older = row.version <= self.row.version;
+        let (Some(known), Some(received)) = (self.revision, revision) else { return is_older };
+        let is_deleted = self.row.value.is_none();
+        let era = adapter::era(row.version).cmp(&adapter::era(self.row.version));
+        if known.incarnation != received.incarnation {
+            return match era {
+                Ordering::Equal => is_older,
+                // The row may be one of the older copy.
+                Ordering::Greater => received.incarnation < known.incarnation,
+                Ordering::Less => true,
+            };
+        }
+        match received.number.cmp(&known.number) {
+            // Whatever a writer repeats after the store has lost writes, its last value counts.
+            Ordering::Less => true,
+            Ordering::Equal => is_older || (is_deleted && era == Ordering::Greater),
+            // The cached row may be one of the older copy, and `row` one that the store has lost.
+            Ordering::Greater => is_deleted && is_older,
+        }
+    }
+}
+
 impl From<TableSnapshot> for Rows {
     fn from(snapshot: TableSnapshot) -> Rows {
         let rows = snapshot.rows.into_iter();
--- a/crates/entry/src/control/tables/tests.rs
+++ b/crates/entry/src/control/tables/tests.rs
@@ -1,4 +1,4 @@
-use adapter::{Row, Rows};
+use adapter::{OPERATOR_TABLE, Row, Rows};
 
 use super::TableCache;
 
@@ -47,3 +47,77 @@
     merge(&mut cache, rows(60, &[("m2", 55)]), false);
     assert_eq!(merge(&mut cache, rows(52, &[("m1", 10), ("left", 5)]), true), Vec::<String>::new());
 }
+
+/// Difference between versions with the same number of two successive eras.
+const ERA: u64 = 1 << 40;
+
+fn entry(key: &str, state: &str, sequence: u64, version: u64) -> Row {
+    let value = format!(r#"{{"state":"{state}","sequence":{sequence},"born":100}}"#);
+    Row { key: key.to_owned(), value: Some(value.into_bytes()), version }
+}
+
+fn config(number: u64, version: u64) -> Row {
+    let value = format!(r#"{{"version":{number}}}"#);
+    Row { key: "config".to_owned(), value: Some(value.into_bytes()), version }
+}
+
+fn list(version: u64, rows: &[Row]) -> Rows {
+    Rows { rows: rows.to_vec(), version, clock_ms: 0 }
+}
+
+#[test]
+fn a_draining_member_stays_so_when_an_older_copy_of_the_store_shows_it_ready() {
+    let mut cache = TableCache::default();
+    let ready = entry("m1", "ready", 1, ERA + 10);
+    merge(&mut cache, list(ERA + 50, &[entry("m1", "draining", 7, ERA + 50)]), true);
+    let copy = Row { version: 2 * ERA + 10, ..ready };
+    assert!(merge(&mut cache, list(2 * ERA + 20, &[copy]), true).is_empty());
+    // The member repeats what it said before, and then what it said last.
+    let repeated = list(2 * ERA + 21, &[entry("m1", "ready", 5, 2 * ERA + 21)]);
+    assert!(merge(&mut cache, repeated, false).is_empty());
+    let latest = list(2 * ERA + 22, &[entry("m1", "draining", 8, 2 * ERA + 22)]);
+    assert_eq!(merge(&mut cache, latest, false), ["m1"]);
+}
+
+#[test]
+fn a_member_that_left_stays_so_when_an_older_copy_of_the_store_lists_it() {
+    let mut cache = TableCache::default();
+    merge(&mut cache, list(ERA + 10, &[entry("m1", "ready", 1, ERA + 10)]), true);
+    merge(&mut cache, list(ERA + 20, &[]), true);
+    let copy = list(2 * ERA + 15, &[entry("m1", "ready", 1, 2 * ERA + 10)]);
+    assert!(merge(&mut cache, copy, true).is_empty());
+    // It lives, and its entry had only lapsed.
+    let back = list(2 * ERA + 16, &[entry("m1", "ready", 1, 2 * ERA + 16)]);
+    assert_eq!(merge(&mut cache, back, false), ["m1"]);
+}
+
+/// Its clock may have been set back before it was started again.
+#[test]
+fn a_restarted_member_is_used_although_its_clock_went_back() {
+    let mut cache = TableCache::default();
+    merge(&mut cache, list(ERA + 10, &[entry("m1", "ready", 9, ERA + 10)]), true);
+    let restarted = Row {
+        value: Some(br#"{"state":"ready","sequence":1,"born":90}"#.to_vec()),
+        ..entry("m1", "", 0, 2 * ERA + 16)
+    };
+    merge(&mut cache, list(2 * ERA + 15, &[entry("m1", "ready", 9, 2 * ERA + 10)]), true);
+    assert_eq!(merge(&mut cache, list(2 * ERA + 16, &[restarted]), false), ["m1"]);
+}
+
+/// One daemon ran through and has the configuration that the store has lost, the other has read
+/// the copy.
+#[test]
+fn a_daemon_takes_a_configuration_that_the_store_has_lost_from_another() {
+    let merge = |cache: &mut TableCache, rows| cache.merge(OPERATOR_TABLE, rows, true).len();
+    let (mut ran_through, mut started) = (TableCache::default(), TableCache::default());
+    let copy = || list(2 * ERA + 20, &[config(10, 2 * ERA + 10)]);
+    merge(&mut ran_through, list(ERA + 50, &[config(18, ERA + 50)]));
+    assert_eq!(merge(&mut ran_through, copy()), 0);
+    assert_eq!(merge(&mut ran_through, list(2 * ERA + 21, &[])), 0);
+    assert_eq!(merge(&mut started, copy()), 1);
+    let snapshot = ran_through.snapshots(Some(OPERATOR_TABLE)).remove(0);
+    assert_eq!(merge(&mut started, Rows::from(snapshot)), 1);
+    // The older configuration comes back neither from the store nor from a daemon.
+    assert_eq!(merge(&mut started, copy()), 0);
+    assert_eq!(merge(&mut started, list(2 * ERA + 30, &[config(21, 2 * ERA + 30)])), 1);
+}
--- a/crates/entry/src/control/task.rs
+++ b/crates/entry/src/control/task.rs
@@ -258,8 +258,12 @@
                     MEMBERS_TABLE => self.members_followed.record_answer(asked_at),
                     _ => {}
                 }
+                let (era, store_ms) = (adapter::era(rows.version), rows.clock_ms);
                 self.apply_rows(table, rows, complete);
-                if let Some(copied) = rows::copied(table) {
+                // A store that has lost writes says nothing about them.
+                if let Some(copied) = rows::copied(table)
+                    && self.coordination.is_settled(era, store_ms)
+                {
                     self.copies.store_answered(copied, asked_at);
                 }
                 if table == STATE_TABLE {
--- a/crates/entry/src/control/task/heartbeats.rs
+++ b/crates/entry/src/control/task/heartbeats.rs
@@ -162,9 +162,10 @@
         wants_config.then_some(MissingRows::OfTable(OPERATOR_TABLE))
     }
 
-    /// Versions of the newest rows of the operator's, the members' and the state table.
+    /// Version of the configuration, and of the newest rows of the members' and the state table.
     fn newest_rows(&self) -> [u64; 3] {
-        [OPERATOR_TABLE, MEMBERS_TABLE, STATE_TABLE].map(|table| self.tables.newest(table))
+        let [members, state] = [MEMBERS_TABLE, STATE_TABLE].map(|table| self.tables.newest(table));
+        [self.config_version(), members, state]
     }
 
     /// How long ago a copy was last known to be complete; `None` if it never was.
--- a/crates/entry/src/control/task/rows.rs
+++ b/crates/entry/src/control/task/rows.rs
@@ -61,12 +61,13 @@
         if !updates.is_empty() {
             self.behind_since = None;
         }
-        if let Some(copied) = copied(table) {
-            self.copies.rows_applied(copied, self.tables.newest(table));
-        }
         match table {
-            OPERATOR_TABLE => self.apply_config(&updates),
+            OPERATOR_TABLE => {
+                self.apply_config(&updates);
+                self.copies.rows_applied(Copied::Config, self.config_version());
+            }
             MEMBERS_TABLE => {
+                self.copies.rows_applied(Copied::Members, self.tables.newest(table));
                 self.members_known |= complete;
                 self.apply_members(&updates);
             }
@@ -77,6 +78,11 @@
         }
     }
 
+    /// Version of the configuration in force; 0 if there is none.
+    pub(super) fn config_version(&self) -> u64 {
+        self.config.as_ref().map_or(0, |config| config.version)
+    }
+
     pub(super) fn apply_config(&mut self, updates: &[Row]) {
         let newest =
             updates.iter().filter(|row| row.key == CONFIG_KEY).max_by_key(|row| row.version);
--- a/crates/standins/src/store/service.rs
+++ b/crates/standins/src/store/service.rs
@@ -34,8 +34,10 @@
     state: Arc<Mutex<StoreState>>,
 }
 
-/// Response header with the number of times that the store has been restored.
+/// Response header with the era, which rises by one each time that the store is restored.
 const ERA_HEADER: &str = "Store-Era";
+/// Era of a store that has never been restored.
+const FIRST_ERA: u64 = 1;
 
 /// Contents, faults and counters of the store.
 #[derive(Debug, Default)]
@@ -126,7 +128,7 @@
     if store.state().era != era {
         return StatusCode::SERVICE_UNAVAILABLE.into_response();
     }
-    res.headers_mut().insert(ERA_HEADER, HeaderValue::from(era));
+    res.headers_mut().insert(ERA_HEADER, HeaderValue::from(FIRST_ERA + era));
     res
 }
 
--- a/crates/succession/src/records.rs
+++ b/crates/succession/src/records.rs
@@ -1,7 +1,12 @@
 use std::net::SocketAddr;
 
+use base::Span;
+
 use crate::grants::SETTLED_AFTER;
 
+/// Time within which the operator and the members write again what the store has lost: the users
+/// state two seconds for members' entries.
+const REWRITTEN_AFTER: Span = Span::from_millis(2_300);
 /// Bits of a fencing token that count the holders within an era of the store; the era is above
 /// them.
 const TOKEN_ERA_SHIFT: u32 = 32;
@@ -16,6 +21,15 @@
     pub restored_at_ms: Option<u64>,
 }
 
+impl EraRecord {
+    /// Whether at `store_ms`, a time of the store's clock, the store has again what the operator
+    /// and the members wrote before it came back from an older copy.
+    pub fn is_settled(&self, store_ms: u64) -> bool {
+        let rewritten = |at| store_ms.saturating_sub(at) >= REWRITTEN_AFTER.as_millis();
+        self.restored_at_ms.is_none_or(rewritten)
+    }
+}
+
 /// The failover lease, which entitles one daemon at a time to make failover calls.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 #[derive(serde::Deserialize, serde::Serialize)]
