Do not rely on a primary's record when the store may have lost a later one

Symptom: daemons that started after the store came back from a copy older than a change of primary read from the replaced primary, without an acknowledged commit (STALE; 'read behind' in our test); a group whose recorded primary no longer exists was refused to the end. Cause: the record in the copy was taken for the present one. Nothing tells from the record alone whether a later one is lost. Evidence: the test; the daemons log the copy's primary right after their start. Fix: a record names the era in which it was written and holds in that era only. A carrier that has a valid grant when it notices the new era knows that no failover has passed it by (a promotion waits for its grant) and that none of the old era can follow (each needs a write in that era): it uses its records on and writes them again, without a pause. Where no carrier knows, the lease's holder records the group as changing and in doubt, once the members have written again, and after a holder's first second as for every failover: the members then show the primary of the newest term, and the failover call for it changes nothing if it is the present one, or makes it so. It is not ordered to step down. Ruled out: asking the members without the call (one that is not listed yet, or dark, may be newer).

--- a/crates/entry/src/control/coordination.rs
+++ b/crates/entry/src/control/coordination.rs
@@ -11,6 +11,9 @@
 const PRIMARY_KEY_PREFIX: &str = "lead/";
 const CARRIER_KEY_PREFIX: &str = "carrier/";
 const ERA_KEY_PREFIX: &str = "era/";
+/// Limit of primary records that one transaction writes again: the store accepts 100 entries, and
+/// each takes two.
+const MAX_RECORDS_PER_WRITE: usize = 40;
 
 /// Rows of the state table as last read from the store or from another daemon.
 #[derive(Debug, Default)]
@@ -31,13 +34,37 @@
     /// have ended with an earlier era ([`CoordinationState::lease`]).
     duty: Option<(LeaseRecord, u64)>,
     /// Primaries by group, each with the version of its row.
-    pub(crate) primary_records: FastMap<String, (PrimaryRecord, u64)>,
+    primary_records: FastMap<String, (PrimaryRecord, u64)>,
+    /// Records of an earlier era that still hold, although the store has lost some.
+    inherited: FastMap<String, PrimaryRecord>,
     /// Carriers by carrier slot, each with the version of its row.
     pub(crate) carriers: FastMap<String, (CarrierRecord, u64)>,
     /// Carriers that have lost their carrier slot, by that slot.
     pub(crate) gone: FastMap<String, (CarrierRecord, u64)>,
 }
 
+/// What is known of a group's primary.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct KnownPrimary<'a> {
+    /// The record; `None` if there is none.
+    pub(crate) record: Option<&'a PrimaryRecord>,
+    /// Version of the row; 0 if there is none.
+    pub(crate) version: u64,
+    /// Where the record comes from.
+    pub(crate) origin: RecordOrigin,
+}
+
+/// Where a group's primary record comes from.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum RecordOrigin {
+    /// It was written in the present era of the store, or no era has ended yet.
+    Stored,
+    /// This daemon knows it from an earlier era. The store has another one, or none.
+    Inherited,
+    /// It was written in an earlier era, and the store may have lost a later one.
+    Outdated,
+}
+
 /// Which part of the state a row has changed.
 #[derive(Debug, Eq, PartialEq)]
 pub(crate) enum StateChange {
@@ -52,12 +79,69 @@
         StoreKey { table: STATE_TABLE, key: LEASE_KEY }
     }
 
-    /// Begins an era of the store, whose rows follow.
-    pub(crate) fn begin_era(&mut self, era: u64) {
+    /// Begins an era of the store, whose rows follow. `is_granted` is whether this daemon may use
+    /// the primaries that it knows.
+    ///
+    /// If it may, no failover that it does not know of can have been carried out, nor can one be
+    /// carried out any more that was started in the earlier era. The records then hold until they
+    /// are replaced in the new era.
+    pub(crate) fn begin_era(&mut self, era: u64, is_granted: bool) {
+        self.inherited = if is_granted { self.valid_records() } else { FastMap::default() };
         self.era = era;
         self.era_record = None;
     }
 
+    fn valid_records(&self) -> FastMap<String, PrimaryRecord> {
+        let groups = self.primary_records.keys().chain(self.inherited.keys());
+        let known = groups.map(|group| (group, self.primary(group)));
+        let valid = known.filter(|(_, known)| known.origin != RecordOrigin::Outdated);
+        valid.filter_map(|(group, known)| Some((group.clone(), known.record?.clone()))).collect()
+    }
+
+    /// What is known of the primary of a group.
+    pub(crate) fn primary(&self, group: &str) -> KnownPrimary<'_> {
+        let (stored, version) = match self.primary_records.get(group) {
+            Some((record, version)) => (Some(record), *version),
+            None => (None, 0),
+        };
+        if let Some(record) = stored.filter(|record| record.era == self.era) {
+            return KnownPrimary { record: Some(record), version, origin: RecordOrigin::Stored };
+        }
+        if let Some(record) = self.inherited.get(group) {
+            return KnownPrimary { record: Some(record), version, origin: RecordOrigin::Inherited };
+        }
+        let is_first_era =
+            self.era_record.as_ref().is_some_and(|(it, _)| it.restored_at_ms.is_none());
+        let origin = match stored {
+            None if is_first_era => RecordOrigin::Stored,
+            _ => RecordOrigin::Outdated,
+        };
+        KnownPrimary { record: stored, version, origin }
+    }
+
+    /// Whether primary records of an earlier era have to be written again.
+    pub(crate) fn lacks_records(&self) -> bool {
+        self.lost_records().next().is_some()
+    }
+
+    /// A transaction that writes primary records of an earlier era again which the store may have
+    /// lost, as many as fit.
+    pub(crate) fn write_again(&self, store_ms: u64) -> StoreTransaction {
+        let lost = self.lost_records().take(MAX_RECORDS_PER_WRITE);
+        lost.fold(self.transaction(store_ms), |change, (group, record, version)| {
+            let key = CoordinationState::primary_record_key(group);
+            let place = StoreKey { table: STATE_TABLE, key: &key };
+            let record = PrimaryRecord { era: self.era, ..record.clone() };
+            change.with_expected(place, version).with_put(place, &encode(&record))
+        })
+    }
+
+    fn lost_records(&self) -> impl Iterator<Item = (&str, &PrimaryRecord, u64)> {
+        let known = self.inherited.keys().map(|group| (group.as_str(), self.primary(group)));
+        let lost = known.filter(|(_, known)| known.origin == RecordOrigin::Inherited);
+        lost.filter_map(|(group, known)| Some((group, known.record?, known.version)))
+    }
+
     /// Whether the store, as of an answer in `era` at `store_ms` of its clock, has all that the
     /// operator and the members have written. Without a record of the era this is so only if no
     /// daemon has ever written to the store.
--- a/crates/entry/src/control/coordination/tests.rs
+++ b/crates/entry/src/control/coordination/tests.rs
@@ -8,7 +8,7 @@
 async fn read(store: &StoreClient) -> CoordinationState {
     let rows = store.rows(STATE_TABLE).await.expect("the store answers");
     let mut coordination = CoordinationState::default();
-    coordination.begin_era(adapter::era(rows.version));
+    coordination.begin_era(adapter::era(rows.version), false);
     coordination.apply_rows(&rows.rows);
     coordination
 }
--- a/crates/entry/src/control/coordinator.rs
+++ b/crates/entry/src/control/coordinator.rs
@@ -12,7 +12,7 @@
     clock,
     control::{
         carrier_roster::{CarrierRoster, RosterEntry},
-        coordination::{CoordinationState, STATE_TABLE},
+        coordination::{CoordinationState, RecordOrigin, STATE_TABLE},
         event::Event,
         member_calls,
         peers::Peers,
@@ -258,12 +258,20 @@
         store_ms: u64,
         group: &GroupView<'_>,
     ) {
-        let record = coordination.primary_records.get(group.name);
-        let primary_unused = record.is_some_and(|(record, version)| {
-            record.changing && self.no_carrier_uses_primary(now, *version, group.name, carriers)
-        });
-        let assessment = match record {
-            Some((record, _)) => {
+        let known = coordination.primary(group.name);
+        let held_for = now.since(self.holder_since.unwrap_or(now));
+        let may_promote = held_for >= FIRST_CALL_DELAY;
+        let is_outdated = known.origin == RecordOrigin::Outdated;
+        // Daemons that know the lost records write them again, and members their entries.
+        if is_outdated && !(may_promote && coordination.is_settled(coordination.era, store_ms)) {
+            return;
+        }
+        let is_stored_change =
+            known.origin == RecordOrigin::Stored && known.record.is_some_and(|it| it.changing);
+        let primary_unused = is_stored_change
+            && self.no_carrier_uses_primary(now, known.version, group.name, carriers);
+        let assessment = match known.record {
+            Some(record) => {
                 let mut opinions = peers.opinions(now, group.name, &record.primary);
                 opinions.extend(group.local_health);
                 assess(&opinions)
@@ -278,11 +286,11 @@
                 Candidate { status, ..place.candidate.clone() }
             })
             .collect();
-        let held_for = now.since(self.holder_since.unwrap_or(now));
         let view = FailoverView {
-            record: record.map(|(record, _)| record),
+            record: known.record,
+            is_outdated,
             primary_unused,
-            may_promote: held_for >= FIRST_CALL_DELAY,
+            may_promote,
             members: &members,
             assessment,
             sync_replicas: group.sync_replicas,
@@ -292,13 +300,12 @@
         match failover.tick(now, &view) {
             Some(Action::Write { .. }) if writing => {}
             Some(Action::Write { record: wanted, reason }) => {
-                let version = record.map_or(0, |(_, version)| *version);
                 let change = coordination.transaction(store_ms);
                 self.write_primary_record(
                     coordination,
                     change,
                     group.name,
-                    version,
+                    known.version,
                     &wanted,
                     reason,
                 );
@@ -358,6 +365,7 @@
             "writing lead record",
             &serde_json::json!({"group": group, "primary": record.primary,
                 "changing": record.changing, "planned": record.planned,
+                "in_doubt": record.in_doubt,
                 "version": version, "reason": reason}),
         );
         let key = CoordinationState::primary_record_key(group);
@@ -365,7 +373,7 @@
         let change = change
             .with_expected(CoordinationState::lease_key(), duty)
             .with_expected(place, version)
-            .with_put(place, &encode(record));
+            .with_put(place, &encode(&PrimaryRecord { era: coordination.era, ..record.clone() }));
         self.write("lead", change);
     }
 
--- a/crates/entry/src/control/task.rs
+++ b/crates/entry/src/control/task.rs
@@ -77,6 +77,12 @@
     pending_orders: PendingOrders,
     /// Version up to which this daemon applies the rows of the state table.
     applied_version: u64,
+    /// Primary that the data thread was last told of each group; `None` during a failover.
+    sent_primaries: FastMap<String, Option<MemberId>>,
+    /// When this daemon noticed the present era of the store, and last tried to write again what
+    /// the store has lost.
+    era_began_at: Time,
+    last_rewrite: Option<Time>,
     /// Health of each group's primary as the data thread last observed it.
     opinions: FastMap<String, (MemberId, PrimaryHealth, Time)>,
     standstill: StandstillDetector,
@@ -215,6 +221,9 @@
             members_known: false,
             pending_orders: PendingOrders::default(),
             applied_version: 0,
+            sent_primaries: FastMap::default(),
+            era_began_at: Time::default(),
+            last_rewrite: None,
             opinions: FastMap::default(),
             standstill: StandstillDetector::new(clock::now()),
             last_heartbeat: None,
@@ -342,6 +351,7 @@
         self.poll_copies(now);
         self.register_carrier(now);
         self.expire_carriers(now);
+        self.write_primaries_again(now);
         self.update_grant();
         self.update_readiness(now);
         self.steer(now);
@@ -384,11 +394,8 @@
             },
             addr: member.entry.addr,
         });
-        let primary = self
-            .coordination
-            .primary_records
-            .get(&group.name)
-            .map(|(record, _)| record.primary.as_str());
+        let known = self.coordination.primary(&group.name);
+        let primary = known.record.map(|record| record.primary.as_str());
         let opinion = self
             .opinions
             .get(&group.name)
--- a/crates/entry/src/control/task/rows.rs
+++ b/crates/entry/src/control/task/rows.rs
@@ -13,7 +13,7 @@
 use crate::{
     clock,
     control::{
-        coordination::{STATE_TABLE, StateChange},
+        coordination::{RecordOrigin, STATE_TABLE, StateChange},
         tables::TableSnapshot,
     },
     messages::Order,
@@ -25,6 +25,11 @@
 const MEMBER_ENTRY_EXPIRY: Span = Span::from_millis(2_300);
 /// Minimum interval between calls that ask the store whether members' entries are still missing.
 const MISSING_CHECK_INTERVAL: Span = Span::from_millis(1_000);
+/// Time between the turns of two carriers to write records again: the other learns by then that the
+/// first has done so.
+const REWRITE_STAGGER: Span = Span::from_millis(100);
+/// Minimum interval between two attempts of a carrier.
+const REWRITE_RETRY_INTERVAL: Span = Span::from_millis(500);
 /// Minimum number of carriers among which connections are divided, so that the first to
 /// start does not open connections that the others need a moment later. Lower than the number
 /// of carrier slots (`succession::CarrierSlots`), not all of which need be taken.
@@ -45,8 +50,7 @@
     pub(super) fn apply_rows(&mut self, table: &'static str, rows: Rows, complete: bool) {
         let era = adapter::era(rows.version);
         if table == STATE_TABLE && era > self.coordination.era {
-            self.coordination.begin_era(era);
-            self.coordinator.era_changed();
+            self.begin_era(era);
         }
         let outdated = self.tables.outdated(table, &rows);
         if outdated > 0 {
@@ -203,17 +207,62 @@
         self.update_applied_version();
     }
 
+    /// Begins an era of the store, whose rows of the state table follow.
+    fn begin_era(&mut self, era: u64) {
+        let now = clock::now();
+        let is_granted = self.carries && now < self.grant.expires_at();
+        logs::event(
+            "store era begins",
+            &serde_json::json!({"era": era, "previous": self.coordination.era,
+                "granted": is_granted}),
+        );
+        self.coordination.begin_era(era, is_granted);
+        self.coordinator.era_changed();
+        self.era_began_at = now;
+        self.last_rewrite = None;
+    }
+
+    /// Writes primary records of an earlier era again that the store may have lost. Carriers take
+    /// turns in the order of their names.
+    pub(super) fn write_primaries_again(&mut self, now: Time) {
+        let is_current = self.coordination.era == self.store_era && self.store_ms > 0;
+        if !self.carries || !is_current || !self.coordination.lacks_records() {
+            return;
+        }
+        let own = &self.settings.vm;
+        let peers = self.peers.peers.iter();
+        let preceding = peers
+            .filter(|(name, peer)| *name < own && peer.heard_within(now, REWRITE_RETRY_INTERVAL))
+            .count() as u64;
+        let turn = Span::from_micros(REWRITE_STAGGER.as_micros() * preceding);
+        let recently = self.last_rewrite.is_some_and(|at| now.since(at) < REWRITE_RETRY_INTERVAL);
+        if now.since(self.era_began_at) < turn || recently {
+            return;
+        }
+        self.last_rewrite = Some(now);
+        logs::event("writing records again", &serde_json::json!({"era": self.store_era}));
+        self.write("lead", self.coordination.write_again(self.store_ms(now)));
+    }
+
     pub(super) fn primary_changed(&mut self, group: &str) {
         self.coordinator.primary_changed(group);
-        let Some((record, version)) = self.coordination.primary_records.get(group) else { return };
-        let lead = (!record.changing).then(|| MemberId::new(record.primary.clone()));
+        let known = self.coordination.primary(group);
+        let usable =
+            known.record.filter(|it| !it.changing && known.origin != RecordOrigin::Outdated);
+        let lead = usable.map(|record| MemberId::new(record.primary.clone()));
         logs::event(
             "primary",
-            &serde_json::json!({"group": group, "primary": record.primary,
-                "changing": record.changing, "version": version}),
+            &serde_json::json!({"group": group, "record": known.record,
+                "origin": format!("{:?}", known.origin), "version": known.version}),
         );
-        self.pending_orders.add(group, *version);
-        let (planned, version) = (record.planned, *version);
+        if self.sent_primaries.get(group) == Some(&lead) {
+            return;
+        }
+        self.sent_primaries.insert(group.to_owned(), lead.clone());
+        // A row that the store has lost has no version; the order follows from the newest row.
+        let version = if known.version == 0 { self.coordination.version } else { known.version };
+        let planned = known.record.is_some_and(|record| record.planned);
+        self.pending_orders.add(group, version);
         self.send_order(Order::SetPrimary { group: group.to_owned(), lead, planned, version });
     }
 
--- a/crates/succession/src/failover.rs
+++ b/crates/succession/src/failover.rs
@@ -44,6 +44,8 @@
 pub struct FailoverView<'a> {
     /// Stored record of the group's primary; `None` if there is none yet.
     pub record: Option<&'a PrimaryRecord>,
+    /// Whether the store may have lost a later record.
+    pub is_outdated: bool,
     /// Whether no daemon uses the group's primary any more, because a failover has started.
     pub primary_unused: bool,
     /// Whether this daemon has held the lease for long enough to carry out failovers. Until
@@ -147,6 +149,10 @@
 
     /// Returns the next action, or `None` if there is nothing to do now.
     pub fn tick(&mut self, now: Time, view: &FailoverView<'_>) -> Option<Action> {
+        if view.is_outdated {
+            self.phase = Phase::Idle;
+            return start_in_doubt(view);
+        }
         let Some(record) = view.record else { return first_record(view.members) };
         if !record.changing {
             self.phase = Phase::Idle;
@@ -183,6 +189,7 @@
                 let old_status = old_primary.and_then(|member| status_since(member, since));
                 if let Some(status) = old_status
                     && status.primary
+                    && !record.in_doubt
                     && !*step_down_sent
                 {
                     *step_down_sent = true;
@@ -201,8 +208,7 @@
                     .and_then(|member| member.status)
                     .is_some_and(|status| status.primary && status.asked_at >= *since);
                 if *accepted && is_primary {
-                    let record =
-                        PrimaryRecord { primary: to.clone(), changing: false, planned: false };
+                    let record = PrimaryRecord { primary: to.clone(), ..PrimaryRecord::default() };
                     return Some(Action::Write {
                         record,
                         reason: "the promoted member is primary",
@@ -221,9 +227,10 @@
         }
     }
 
-    /// Returns the eligible candidate with the most advanced log. `None` while it waits for
-    /// missing statuses or, in a planned failover, for a replica to catch up, and if no eligible
-    /// candidate has answered.
+    /// Returns the eligible candidate with the most advanced log. If the present primary is in
+    /// doubt, that is the primary of the newest term, if one answers: the platform then changes
+    /// nothing if it is the present one. `None` while it waits for missing statuses or, in a
+    /// planned failover, for a replica to catch up, and if no eligible candidate has answered.
     fn choose_candidate(
         &self,
         now: Time,
@@ -233,13 +240,15 @@
     ) -> Option<String> {
         let eligible = view.members.iter().filter(|member| {
             let excluded = self.excluded.get(&member.id).is_some_and(|until| *until > now);
-            !member.leaving && !excluded
+            (!member.leaving || record.in_doubt) && !excluded
         });
         let eligible: Vec<_> = eligible.collect();
-        let others: Vec<_> = eligible.iter().filter(|member| member.id != record.primary).collect();
+        let others = eligible.iter().filter(|it| record.in_doubt || it.id != record.primary);
+        let others: Vec<_> = others.collect();
         let known = others.iter().filter(|member| status_since(member, since).is_some()).count();
         let waited = now.since(since);
-        let enough = known == others.len() || (waited >= STATUS_TIMEOUT && view.sync_replicas == 0);
+        let may_miss_some = view.sync_replicas == 0 && !record.in_doubt;
+        let enough = known == others.len() || (waited >= STATUS_TIMEOUT && may_miss_some);
         if !enough && waited < CATCH_UP_TIMEOUT {
             return None;
         }
@@ -247,7 +256,9 @@
             .iter()
             .filter_map(|member| Some((member, status_since(member, since)?)))
             .max_by_key(|(member, status)| {
-                (status.received, member.id != record.primary, Reverse(&member.id))
+                let term = (record.in_doubt && status.primary).then_some(status.term);
+                let is_new = !member.leaving && member.id != record.primary;
+                (term, status.received, is_new, Reverse(&member.id))
             })?;
         let old_primary = view.members.iter().find(|member| member.id == record.primary);
         let old_end = old_primary
@@ -273,10 +284,22 @@
 fn first_record(members: &[Candidate]) -> Option<Action> {
     let mut primaries = members.iter().filter(|member| member.registers_as_primary);
     let (Some(primary), None) = (primaries.next(), primaries.next()) else { return None };
-    let record = PrimaryRecord { primary: primary.id.clone(), changing: false, planned: false };
+    let record = PrimaryRecord { primary: primary.id.clone(), ..PrimaryRecord::default() };
     Some(Action::Write { record, reason: "first record: exactly one member registers as primary" })
 }
 
+/// Returns the write that starts a failover in which the members show who the primary is. Without
+/// a record it names any member, preferably one that registers as primary.
+fn start_in_doubt(view: &FailoverView<'_>) -> Option<Action> {
+    let primary = match view.record {
+        Some(record) => record.primary.clone(),
+        None => view.members.iter().max_by_key(|member| member.registers_as_primary)?.id.clone(),
+    };
+    let record =
+        PrimaryRecord { primary, changing: true, in_doubt: true, ..PrimaryRecord::default() };
+    Some(Action::Write { record, reason: "the store may have lost a later record" })
+}
+
 fn start_if_needed(record: &PrimaryRecord, view: &FailoverView<'_>) -> Option<Action> {
     let primary = view.members.iter().find(|member| member.id == record.primary);
     let other = view.members.iter().any(|member| member.id != record.primary && !member.leaving);
@@ -288,6 +311,11 @@
         (Assessment::Keep, Some(primary)) if primary.leaving => (true, "the primary is leaving"),
         (Assessment::Keep, _) => return None,
     };
-    let record = PrimaryRecord { primary: record.primary.clone(), changing: true, planned };
+    let record = PrimaryRecord {
+        primary: record.primary.clone(),
+        changing: true,
+        planned,
+        ..PrimaryRecord::default()
+    };
     Some(Action::Write { record, reason })
 }
--- a/crates/succession/src/records.rs
+++ b/crates/succession/src/records.rs
@@ -70,6 +70,13 @@
     pub changing: bool,
     /// Whether the last primary is healthy, so that its transactions may finish first.
     pub planned: bool,
+    /// Whether another member may be the present primary: the failover was started because the
+    /// store has lost writes and a later record may be among them.
+    #[serde(default)]
+    pub in_doubt: bool,
+    /// Era of the store in which the record was written.
+    #[serde(default)]
+    pub era: u64,
 }
 
 /// The stored record of a carrier: a daemon that has connections to members and may use
--- a/crates/succession/tests/changes.rs
+++ b/crates/succession/tests/changes.rs
@@ -14,6 +14,7 @@
     members: Vec<Candidate>,
     assessment: Assessment,
     primary_unused: bool,
+    is_outdated: bool,
 }
 
 impl Case {
@@ -31,6 +32,7 @@
             members: vec![member("p"), member("r1"), member("r2")],
             assessment: Assessment::Keep,
             primary_unused: true,
+            is_outdated: false,
         }
     }
 
@@ -43,6 +45,7 @@
         self.now = self.now + Span::from_millis(70);
         let view = FailoverView {
             record: self.record.as_ref(),
+            is_outdated: self.is_outdated,
             primary_unused: self.primary_unused,
             may_promote: true,
             members: &self.members,
@@ -66,7 +69,7 @@
 }
 
 fn record(primary: &str, changing: bool, planned: bool) -> PrimaryRecord {
-    PrimaryRecord { primary: primary.to_owned(), changing, planned }
+    PrimaryRecord { primary: primary.to_owned(), changing, planned, ..PrimaryRecord::default() }
 }
 
 fn written_record(action: Option<Action>) -> Option<PrimaryRecord> {
@@ -131,6 +134,45 @@
     assert_eq!(case.tick(), Some(Action::Promote { member: "r1".to_owned() }));
 }
 
+fn in_doubt(primary: &str) -> PrimaryRecord {
+    PrimaryRecord { in_doubt: true, ..record(primary, true, false) }
+}
+
+#[test]
+fn a_record_that_may_be_outdated_is_not_relied_on() {
+    let mut case = Case { is_outdated: true, ..Case::new() };
+    assert_eq!(written_record(case.tick()), Some(in_doubt("p")));
+    let mut case = Case { is_outdated: true, record: None, ..Case::new() };
+    assert_eq!(written_record(case.tick()), Some(in_doubt("p")));
+}
+
+/// The old primary does not know that it was replaced, and has the longer log.
+#[test]
+fn the_primary_of_the_newest_term_is_kept_when_the_record_may_be_outdated() {
+    let mut case = Case { record: Some(in_doubt("p")), ..Case::new() };
+    assert_eq!(case.tick(), Some(Action::QueryStatus));
+    case.status("p", true, 1, 50);
+    case.status("r1", false, 2, 41);
+    assert_eq!(case.tick(), Some(Action::QueryStatus), "r2 may be the primary");
+    case.status("r2", true, 2, 42);
+    assert_eq!(case.tick(), Some(Action::Promote { member: "r2".to_owned() }));
+    case.failover.record_outcome(case.now, "r2", PromotionOutcome::Accepted);
+    case.tick();
+    case.status("r2", true, 2, 42);
+    assert_eq!(written_record(case.tick()), Some(record("r2", false, false)));
+}
+
+#[test]
+fn the_most_advanced_replica_is_promoted_if_no_primary_answers_after_a_loss() {
+    let mut case = Case { record: Some(in_doubt("p")), ..Case::new() };
+    case.tick();
+    case.status("r1", false, 1, 40);
+    case.status("r2", false, 1, 42);
+    assert_eq!(case.tick(), Some(Action::QueryStatus));
+    case.now = case.now + Span::from_millis(800);
+    assert_eq!(case.tick(), Some(Action::Promote { member: "r2".to_owned() }));
+}
+
 #[test]
 fn a_failover_call_with_unknown_outcome_is_repeated_for_the_same_member() {
     let mut case = Case::changing(false);
