Count carriers whose rows the store may have lost; confirm a primary that all members show without waiting

Symptom: none seen; found by asking what an older copy does to the list of carriers. A carrier whose row is lost and that cannot reach the store goes by the earlier list and records for up to 13.65 s, while a failover in the new era counts majorities of the copy's list without it. Cause: the list of the new era was taken for complete. Evidence: the schedules of crates/succession/tests/grants.rs can lose the rows of carriers now; with the list taken for complete a carrier uses the old primary when a failover proceeds (the new mistake is caught), with this change in none of 500 schedules. Fix: for 13.65 s after an era was first noticed, each free slot counts as a carrier that has not applied anything. That wait would also hold up groups in doubt, where usually nothing has to change: if all members answer and show one primary of the newest term, the record names it at once. Cost: with fewer live carriers than free slots (under 5 of 8) a failover right after a restore waits.

The wait is part of the setup, not a check of a promise; it is 15 s now, in one place. The test of tokens has five daemons instead of three.

--- a/crates/entry/src/control/carrier_roster.rs
+++ b/crates/entry/src/control/carrier_roster.rs
@@ -11,7 +11,7 @@
     pub(crate) vm: &'a str,
     pub(crate) coordination: &'a CoordinationState,
     pub(crate) peers: &'a Peers,
-    /// The store's clock in its latest response, in milliseconds.
+    /// The store's clock, in milliseconds.
     pub(crate) store_ms: u64,
 }
 
--- a/crates/entry/src/control/coordination.rs
+++ b/crates/entry/src/control/coordination.rs
@@ -153,6 +153,15 @@
         era == self.era && is_settled
     }
 
+    /// Number of carriers that may exist beyond the listed ones at `store_ms` of the store's clock:
+    /// the store may have lost the rows of carriers that do not know it. `slots` is the number of
+    /// carrier slots.
+    pub(crate) fn unlisted_carriers(&self, slots: usize, store_ms: u64) -> usize {
+        let record = self.era_record.as_ref().map(|(record, _)| record);
+        let may_exist = record.is_none_or(|record| record.may_be_unnoticed(store_ms));
+        if may_exist { slots.saturating_sub(self.carriers.len()) } else { 0 }
+    }
+
     /// The failover lease, if it is one of the present era, and the version of its row.
     pub(crate) fn lease(&self) -> Option<(&LeaseRecord, u64)> {
         let (lease, version) = self.duty.as_ref()?;
--- a/crates/entry/src/control/coordinator.rs
+++ b/crates/entry/src/control/coordinator.rs
@@ -85,6 +85,14 @@
     pub(crate) local_health: Option<succession::PrimaryHealth>,
 }
 
+/// The carriers that may use a primary.
+#[derive(Debug)]
+struct Carriers {
+    listed: Vec<RosterEntry>,
+    /// Number of further carriers that may exist.
+    unlisted: usize,
+}
+
 impl FailoverCoordinator {
     pub(crate) fn new(
         vm: String,
@@ -178,13 +186,14 @@
     /// advances the failover of each group.
     ///
     /// `running_for` is how long this process has been running without a standstill, `store_ms` the
-    /// store's clock in its latest response, in milliseconds.
+    /// store's clock in milliseconds, `slots` the number of carrier slots.
     pub(crate) fn tick(
         &mut self,
         coordination: &CoordinationState,
         peers: &Peers,
         running_for: Span,
         store_ms: u64,
+        slots: usize,
         groups: &[GroupView<'_>],
     ) {
         let now = clock::now();
@@ -192,7 +201,10 @@
             self.try_take_over(now, coordination, peers, running_for, store_ms);
             return;
         }
-        let carriers = CarrierRoster { vm: &self.vm, coordination, peers, store_ms }.entries();
+        let carriers = Carriers {
+            listed: CarrierRoster { vm: &self.vm, coordination, peers, store_ms }.entries(),
+            unlisted: coordination.unlisted_carriers(slots, store_ms),
+        };
         for group in groups {
             self.advance_failover(now, coordination, peers, &carriers, store_ms, group);
         }
@@ -254,7 +266,7 @@
         now: Time,
         coordination: &CoordinationState,
         peers: &Peers,
-        carriers: &[RosterEntry],
+        carriers: &Carriers,
         store_ms: u64,
         group: &GroupView<'_>,
     ) {
@@ -333,12 +345,13 @@
         now: Time,
         version: u64,
         group: &str,
-        carriers: &[RosterEntry],
+        carriers: &Carriers,
     ) -> bool {
         let record_learned_at = self.record_learned_at.get(group).copied().unwrap_or(now);
-        let carriers: Vec<_> =
-            carriers.iter().map(|carrier| carrier.carrier_state(version)).collect();
-        let since = is_majority_of_every_list(&carriers).then(|| {
+        let unlisted = carriers.unlisted;
+        let carriers = carriers.listed.iter().map(|carrier| carrier.carrier_state(version));
+        let carriers: Vec<_> = carriers.collect();
+        let since = is_majority_of_every_list(&carriers, unlisted).then(|| {
             let (known, since) =
                 self.majority_since.entry(group.to_owned()).or_insert((version, now));
             if *known != version {
@@ -346,7 +359,7 @@
             }
             *since
         });
-        is_primary_unused(now, &carriers, since, record_learned_at)
+        is_primary_unused(now, &carriers, unlisted, since, record_learned_at)
     }
 
     /// Writes the group's primary record, logged as the "lead record" after the key of its
--- a/crates/entry/src/control/coordinator/tests.rs
+++ b/crates/entry/src/control/coordinator/tests.rs
@@ -36,7 +36,7 @@
     coordination.loaded = true;
     let rows = [row("carrier/a/0", &carrier), row("duty", &lease)];
     coordination.apply_rows(&rows);
-    coordinator.tick(&coordination, &Peers::default(), running_for, 0, &[]);
+    coordinator.tick(&coordination, &Peers::default(), running_for, 0, 1, &[]);
     coordinator.write_retry_at.is_some()
 }
 
--- a/crates/entry/src/control/task.rs
+++ b/crates/entry/src/control/task.rs
@@ -380,7 +380,9 @@
         let views: Vec<_> = config.groups.iter().map(|group| self.group_view(now, group)).collect();
         let running_for = self.standstill.running_for(now);
         let store_ms = self.store_ms(now);
-        self.coordinator.tick(&self.coordination, &self.peers, running_for, store_ms, &views);
+        let slots = self.carrier_slots(&config).total();
+        let (coordination, peers) = (&self.coordination, &self.peers);
+        self.coordinator.tick(coordination, peers, running_for, store_ms, slots, &views);
     }
 
     fn group_view<'a>(&self, now: Time, group: &'a Group) -> GroupView<'a> {
--- a/crates/entry/src/control/task/carrier_role.rs
+++ b/crates/entry/src/control/task/carrier_role.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use adapter::{CallError, StoreKey, StoreTransaction};
+use adapter::{CallError, Config, StoreKey, StoreTransaction};
 use base::{Span, Time};
 use succession::{CarrierRecord, CarrierSlots, Copied, Feed, FollowedTables, FollowerView};
 
@@ -65,9 +65,8 @@
             Some((_, known, _)) if known.is_same(&record) => return,
             Some((place, _, version)) => (place.to_owned(), version),
             None => {
-                let connections = config.groups.iter().map(|group| group.connections).min();
-                let slots = CarrierSlots::new(connections.unwrap_or(0), self.settings.zones);
-                let slots = slots
+                let slots = self
+                    .carrier_slots(config)
                     .indices()
                     .map(|number| CoordinationState::carrier_slot(&self.settings.zone, number));
                 let mut free = slots.filter_map(|place| {
@@ -105,6 +104,12 @@
         self.write("carrier", change);
     }
 
+    /// The carrier slots of all availability zones.
+    pub(super) fn carrier_slots(&self, config: &Config) -> CarrierSlots {
+        let connections = config.groups.iter().map(|group| group.connections).min();
+        CarrierSlots::new(connections.unwrap_or(0), self.settings.zones)
+    }
+
     /// The store's clock, in ms, extrapolated from its latest answer: a daemon that follows no
     /// table does not hear from the store.
     pub(super) fn store_ms(&self, now: Time) -> u64 {
--- a/crates/entry/tests/platform.rs
+++ b/crates/entry/tests/platform.rs
@@ -9,7 +9,7 @@
 
 use support::{
     CONFIG_TIMEOUT, Client, Daemon, Link, Peer, client, daemon, databases, eventually,
-    start_platform, wait_for_writes,
+    start_platform, wait_for_answers, wait_for_writes,
 };
 
 /// Longest time that the users allow for a failover.
@@ -145,12 +145,7 @@
         daemon.wait_ready();
         wait_for_writes(daemon);
     }
-    eventually(Duration::from_secs(3), "two carriers", || {
-        platform.count_rows("corianderwharf", "carrier/") == 2
-    });
-    eventually(Duration::from_secs(3), "answers of each other", || {
-        one.is_granted_without_store() && two.is_granted_without_store()
-    });
+    wait_for_answers(&[&one, &two]);
     platform.set_store_down(true);
     let (mut first, mut second) = (client(&one, "orders"), client(&two, "orders"));
     let end = Instant::now() + TWO_GRANTS;
@@ -173,9 +168,7 @@
         daemon.wait_ready();
         wait_for_writes(daemon);
     }
-    eventually(Duration::from_secs(3), "answers of each other", || {
-        one.is_granted_without_store() && two.is_granted_without_store()
-    });
+    wait_for_answers(&[&one, &two]);
     let mut session = client(&one, "orders");
     platform.drop_entry("svc1-m1");
     let dropped = Instant::now();
@@ -246,9 +239,7 @@
         daemon.wait_ready();
         wait_for_writes(daemon);
     }
-    eventually(Duration::from_secs(3), "answers of each other", || {
-        one.is_granted_without_store() && two.is_granted_without_store()
-    });
+    wait_for_answers(&[&one, &two]);
     one.suspend();
     platform.configure(&databases(&["orders", "lookups", "added"]));
     let configured = Instant::now();
@@ -283,9 +274,7 @@
         daemon.wait_ready();
         wait_for_writes(daemon);
     }
-    eventually(Duration::from_secs(3), "answers of each other", || {
-        one.is_granted_without_store() && two.is_granted_without_store()
-    });
+    wait_for_answers(&[&one, &two]);
     let mut session = client(&one, "orders-old");
     link.cut();
     one.suspend();
@@ -314,9 +303,7 @@
     daemon.wait_ready();
     wait_for_writes(&daemon);
     let peer = Peer::start(&platform, "127.0.1.18");
-    eventually(Duration::from_secs(3), "answers of the other carrier", || {
-        daemon.is_granted_without_store()
-    });
+    wait_for_answers(&[&daemon]);
     let mut session = client(&daemon, "orders");
     link.cut();
     peer.set_newest_config(1_000_000);
--- a/crates/entry/tests/restored.rs
+++ b/crates/entry/tests/restored.rs
@@ -10,7 +10,8 @@
 
 use standins::lines::Platform;
 use support::{
-    CONFIG_TIMEOUT, Client, Daemon, client, databases, eventually, start_platform, wait_for_writes,
+    CONFIG_TIMEOUT, Client, Daemon, client, databases, eventually, start_platform,
+    wait_for_answers, wait_for_writes,
 };
 
 /// Longest time that the users allow until requests are served again.
@@ -30,9 +31,7 @@
         wait_for_writes(daemon);
     }
     if N > 1 {
-        eventually(CONFIG_TIMEOUT, "answers of each other", || {
-            daemons.iter().all(Daemon::is_granted_without_store)
-        });
+        wait_for_answers(&daemons.each_ref());
     }
     daemons
 }
@@ -125,7 +124,9 @@
 #[test]
 fn no_fencing_token_of_a_lost_lease_is_used_again() {
     let platform = start_platform();
-    let [one, two, _three] = start(&platform, ["127.0.2.5", "127.0.2.6", "127.0.2.9"]);
+    // More than carrier slots that are free, in which carriers might be that the store has lost.
+    let ips = ["127.0.2.5", "127.0.2.6", "127.0.2.9", "127.0.2.10", "127.0.2.11"];
+    let [one, two, _three, _four, _five] = start(&platform, ips);
     platform.copy_store();
     // The holder changes, and the new one uses its token.
     one.suspend();
--- a/crates/entry/tests/support/mod.rs
+++ b/crates/entry/tests/support/mod.rs
@@ -62,3 +62,12 @@
         client.query("STORE warm up").result.is_ok()
     });
 }
+
+/// Waits until the daemons are carriers and have answers of each other, so that they can go on
+/// without the store. A daemon that starts when its zone has a carrier leaves the slots to others
+/// for up to 10 s.
+pub fn wait_for_answers(daemons: &[&Daemon]) {
+    eventually(Duration::from_secs(15), "answers of each other", || {
+        daemons.iter().all(|daemon| daemon.is_granted_without_store())
+    });
+}
--- a/crates/succession/src/carrier_directory.rs
+++ b/crates/succession/src/carrier_directory.rs
@@ -26,7 +26,10 @@
 
 /// Number of carrier slots in each availability zone, which limits its carriers.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub struct CarrierSlots(u32);
+pub struct CarrierSlots {
+    per_zone: u32,
+    zones: u32,
+}
 
 impl CarrierSlots {
     /// Computes the slots in each of `zones` availability zones, given the lowest number of
@@ -34,12 +37,18 @@
     pub fn new(connections: u32, zones: usize) -> CarrierSlots {
         let carriers =
             (connections / CONNECTIONS_PER_CARRIER).clamp(CARRIER_COUNT.0, CARRIER_COUNT.1);
-        CarrierSlots(carriers.div_ceil(zones.max(1) as u32))
+        let zones = zones.max(1) as u32;
+        CarrierSlots { per_zone: carriers.div_ceil(zones), zones }
     }
 
     /// Indices of the slots in one zone.
     pub fn indices(self) -> impl Iterator<Item = u32> {
-        0..self.0
+        0..self.per_zone
+    }
+
+    /// Number of slots in all zones.
+    pub fn total(self) -> usize {
+        (self.per_zone * self.zones) as usize
     }
 }
 
--- a/crates/succession/src/failover.rs
+++ b/crates/succession/src/failover.rs
@@ -16,6 +16,8 @@
 /// Time for which a candidate is excluded after the platform declined its promotion or the
 /// promotion timed out.
 const EXCLUDED_FOR: Span = Span::from_millis(1_000);
+/// Time that members have to answer before they are asked again who the primary is.
+const IDENTIFICATION_TIMEOUT: Span = Span::from_millis(500);
 /// Minimum time between two actions of a failover, so that answers can arrive in between.
 const ACTION_INTERVAL: Span = Span::from_millis(60);
 
@@ -158,10 +160,16 @@
             self.phase = Phase::Idle;
             return start_if_needed(record, view);
         }
-        if !view.primary_unused || !view.may_promote || self.acted_recently(now) {
+        if !view.may_promote || self.acted_recently(now) {
             return None;
         }
-        let action = self.step(now, record, view);
+        let action = if view.primary_unused {
+            self.step(now, record, view)
+        } else if record.in_doubt {
+            self.identify_primary(now, view)
+        } else {
+            None
+        };
         if action.is_some() {
             self.last_action = Some(now);
         }
@@ -172,6 +180,21 @@
         self.last_action.is_some_and(|at| now.since(at) < ACTION_INTERVAL)
     }
 
+    /// Asks the members who the primary is. If they show it, nothing has to change, and no carrier
+    /// has to stop using it.
+    fn identify_primary(&mut self, now: Time, view: &FailoverView<'_>) -> Option<Action> {
+        if let Phase::QueryingStatus { since, .. } = self.phase {
+            if let Some(primary) = only_primary(view.members, since) {
+                return Some(confirmation(primary));
+            }
+            if now.since(since) < IDENTIFICATION_TIMEOUT {
+                return None;
+            }
+        }
+        self.phase = Phase::QueryingStatus { since: now, step_down_sent: false };
+        Some(Action::QueryStatus)
+    }
+
     fn step(
         &mut self,
         now: Time,
@@ -185,6 +208,11 @@
             }
             Phase::QueryingStatus { since, step_down_sent } => {
                 let since = *since;
+                if record.in_doubt
+                    && let Some(primary) = only_primary(view.members, since)
+                {
+                    return Some(confirmation(primary));
+                }
                 let old_primary = view.members.iter().find(|member| member.id == record.primary);
                 let old_status = old_primary.and_then(|member| status_since(member, since));
                 if let Some(status) = old_status
@@ -227,9 +255,8 @@
         }
     }
 
-    /// Returns the eligible candidate with the most advanced log. If the present primary is in
-    /// doubt, that is the primary of the newest term, if one answers: the platform then changes
-    /// nothing if it is the present one. `None` while it waits for missing statuses or, in a
+    /// Returns the eligible candidate with the most advanced log; if the present primary is in
+    /// doubt, preferably a primary: the platform changes nothing if it is the present one. `None` while it waits for missing statuses or, in a
     /// planned failover, for a replica to catch up, and if no eligible candidate has answered.
     fn choose_candidate(
         &self,
@@ -279,6 +306,23 @@
     member.status.filter(|status| status.asked_at >= since)
 }
 
+/// The primary of the newest term, if all members have answered since `since` and none knows a
+/// newer term. A member that is not listed has left, and a failover call of an earlier era has taken
+/// effect by the time that members are asked.
+fn only_primary(members: &[Candidate], since: Time) -> Option<&Candidate> {
+    let statuses = members.iter().map(|member| Some((member, status_since(member, since)?)));
+    let statuses: Vec<_> = statuses.collect::<Option<_>>()?;
+    let newest = statuses.iter().map(|(_, status)| status.term).max()?;
+    let mut primaries = statuses.iter().filter(|(_, it)| it.primary && it.term == newest);
+    let (member, _) = primaries.next()?;
+    primaries.next().is_none().then_some(member)
+}
+
+fn confirmation(primary: &Candidate) -> Action {
+    let record = PrimaryRecord { primary: primary.id.clone(), ..PrimaryRecord::default() };
+    Action::Write { record, reason: "all members show that it is primary" }
+}
+
 /// Returns the write of a group's first primary record if exactly one member registers as
 /// primary.
 fn first_record(members: &[Candidate]) -> Option<Action> {
--- a/crates/succession/src/grants.rs
+++ b/crates/succession/src/grants.rs
@@ -13,6 +13,10 @@
 /// clocks run at slightly different speeds and timers fire late.
 const EXPIRY_MARGIN: Span = Span::from_millis(150);
 
+/// Time after which a grant has expired in any case, if the store has not answered since.
+pub(crate) const LONGEST_GRANT: Span = Span::from_millis(
+    GRANT_WITHOUT_STORE.as_millis() + GRANT_DURATION.as_millis() + EXPIRY_MARGIN.as_millis(),
+);
 /// Longest time after which the store may still apply a write that its caller has given up
 /// waiting for.
 const LATE_WRITE_MAX: Span = Span::from_millis(8_000);
@@ -109,18 +113,20 @@
 /// - a majority has, and the grants of the others have expired;
 /// - even grants that other carriers' answers extended while the store did not answer have expired.
 ///
-/// `majority_since` is when a majority was first known to have applied the record;
+/// `unlisted` is the number of carriers whose rows the store may have lost. `majority_since` is when a majority was first known to have applied the record;
 /// `learned_at` is when the record was read from the store.
 pub fn is_primary_unused(
     now: Time,
     carriers: &[CarrierState],
+    unlisted: usize,
     majority_since: Option<Time>,
     learned_at: Time,
 ) -> bool {
     let grants_expired = |since: Time| now.since(since) >= GRANT_DURATION + EXPIRY_MARGIN;
-    carriers.iter().all(|carrier| carrier.applied)
-        || (is_majority_of_every_list(carriers) && majority_since.is_some_and(grants_expired))
-        || now.since(learned_at) >= GRANT_WITHOUT_STORE + GRANT_DURATION + EXPIRY_MARGIN
+    (unlisted == 0 && carriers.iter().all(|carrier| carrier.applied))
+        || (is_majority_of_every_list(carriers, unlisted)
+            && majority_since.is_some_and(grants_expired))
+        || now.since(learned_at) >= LONGEST_GRANT
 }
 
 /// Whether the carriers that have applied the failover's record are a majority of every
@@ -129,12 +135,12 @@
 /// Carriers that have applied the record are on all such lists if they are settled, or if
 /// every other carrier has reported a version that includes their row. If these outnumber
 /// the others, the others cannot form a majority of any such list by themselves, and so
-/// cannot extend their grants.
-pub fn is_majority_of_every_list(carriers: &[CarrierState]) -> bool {
+/// cannot extend their grants. `unlisted` is the number of further carriers that may exist.
+pub fn is_majority_of_every_list(carriers: &[CarrierState], unlisted: usize) -> bool {
     let others = carriers.iter().filter(|carrier| !carrier.applied);
     let known_to_all = others.clone().map(|carrier| carrier.shown).min().unwrap_or(u64::MAX);
     let on_all_lists = carriers
         .iter()
         .filter(|carrier| carrier.applied && (carrier.settled || carrier.listed <= known_to_all));
-    on_all_lists.count() > others.count()
+    on_all_lists.count() > others.count() + unlisted
 }
--- a/crates/succession/src/records.rs
+++ b/crates/succession/src/records.rs
@@ -2,7 +2,7 @@
 
 use base::Span;
 
-use crate::grants::SETTLED_AFTER;
+use crate::grants::{LONGEST_GRANT, SETTLED_AFTER};
 
 /// Time within which the operator and the members write again what the store has lost: the users
 /// state two seconds for members' entries.
@@ -28,6 +28,13 @@
         let rewritten = |at| store_ms.saturating_sub(at) >= REWRITTEN_AFTER.as_millis();
         self.restored_at_ms.is_none_or(rewritten)
     }
+
+    /// Whether at `store_ms`, a time of the store's clock, a carrier may still use primaries that
+    /// has not noticed the era. It goes by lists and records that the store may have lost.
+    pub fn may_be_unnoticed(&self, store_ms: u64) -> bool {
+        self.restored_at_ms
+            .is_some_and(|at| store_ms.saturating_sub(at) < LONGEST_GRANT.as_millis())
+    }
 }
 
 /// The failover lease, which entitles one daemon at a time to make failover calls.
--- a/crates/succession/tests/changes.rs
+++ b/crates/succession/tests/changes.rs
@@ -155,13 +155,36 @@
     case.status("r1", false, 2, 41);
     assert_eq!(case.tick(), Some(Action::QueryStatus), "r2 may be the primary");
     case.status("r2", true, 2, 42);
-    assert_eq!(case.tick(), Some(Action::Promote { member: "r2".to_owned() }));
-    case.failover.record_outcome(case.now, "r2", PromotionOutcome::Accepted);
-    case.tick();
+    assert_eq!(written_record(case.tick()), Some(record("r2", false, false)));
+}
+
+/// A carrier that has not noticed the loss may go on: it uses the same primary.
+#[test]
+fn a_primary_that_all_members_show_is_confirmed_without_waiting_for_carriers() {
+    let mut case = Case { record: Some(in_doubt("p")), primary_unused: false, ..Case::new() };
+    assert_eq!(case.tick(), Some(Action::QueryStatus));
+    case.status("p", true, 1, 50);
+    case.status("r1", false, 2, 41);
+    assert_eq!(case.tick(), None, "r2 may be the primary");
     case.status("r2", true, 2, 42);
     assert_eq!(written_record(case.tick()), Some(record("r2", false, false)));
 }
 
+/// The member that is primary of term 3 does not answer, or is not listed.
+#[test]
+fn a_primary_of_an_older_term_is_not_confirmed_while_a_carrier_may_use_another() {
+    let mut case = Case { record: Some(in_doubt("p")), primary_unused: false, ..Case::new() };
+    for _ in 0..30 {
+        let action = case.tick();
+        assert!(matches!(action, None | Some(Action::QueryStatus)), "{action:?}");
+        case.status("p", true, 2, 50);
+        case.status("r1", false, 3, 41);
+        case.status("r2", false, 2, 42);
+    }
+    case.primary_unused = true;
+    assert_eq!(case.tick(), Some(Action::Promote { member: "p".to_owned() }));
+}
+
 #[test]
 fn the_most_advanced_replica_is_promoted_if_no_primary_answers_after_a_loss() {
     let mut case = Case { record: Some(in_doubt("p")), ..Case::new() };
--- a/crates/succession/tests/grants.rs
+++ b/crates/succession/tests/grants.rs
@@ -14,6 +14,8 @@
 const STEP: Span = Span::from_millis(50);
 /// Version of the rows at the start.
 const INITIAL_VERSION: u64 = 10;
+/// Added to a version when the store has come back from an older copy.
+const ERA: u64 = 1_000_000;
 
 /// Fault that is built into the protocol to show that the check detects it.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -28,6 +30,8 @@
     NewerIsEvidence,
     /// The lease holder requires a majority of the newest list of carriers only.
     NewestList,
+    /// The lease holder takes the list of a store that has lost writes for complete.
+    LostRowsIgnored,
 }
 
 struct World {
@@ -39,6 +43,8 @@
     store_version: u64,
     /// Version of the row that lists each daemon as a carrier; `None` if it is none.
     listed: [Option<u64>; ALL],
+    /// Daemons whose rows the store has lost.
+    lost: [bool; ALL],
     store_cut: [bool; ALL],
     cut: [[bool; ALL]; ALL],
     /// Version that each daemon last reported to the lease holder, daemon 0.
@@ -55,6 +61,7 @@
             version: [0; ALL],
             store_version: INITIAL_VERSION,
             listed: std::array::from_fn(|own| (own < DAEMONS).then_some(INITIAL_VERSION)),
+            lost: [false; ALL],
             store_cut: [false; ALL],
             cut: [[false; ALL]; ALL],
             shown: [0; ALL],
@@ -117,12 +124,27 @@
     fn apply(&mut self, own: usize, version: u64) {
         self.version[own] = version;
         self.grants[own].rows_applied(version);
-        let listed = |it: usize| self.listed[it].is_some_and(|listed| listed <= version);
-        let names: Vec<_> =
-            (0..ALL).filter(|it| *it != own && listed(*it)).map(|it| it.to_string()).collect();
+        let names: Vec<_> = (0..ALL)
+            .filter(|it| *it != own && self.is_listed(*it, version))
+            .map(|it| it.to_string())
+            .collect();
         self.grants[own].set_peers(names.iter().map(String::as_str));
     }
 
+    /// Whether a daemon is a carrier by the rows of a version.
+    fn is_listed(&self, it: usize, version: u64) -> bool {
+        let is_lost = self.lost[it] && version >= ERA;
+        !is_lost && self.listed[it].is_some_and(|listed| listed <= version)
+    }
+
+    /// The store comes back from a copy without the rows of the carriers that have joined.
+    fn lose_joiners(&mut self) {
+        self.store_version += ERA;
+        for joiner in DAEMONS..ALL {
+            self.lost[joiner] = true;
+        }
+    }
+
     /// Lists one more daemon as a carrier.
     fn join(&mut self) {
         if let Some(joiner) = self.listed.iter().position(Option::is_none) {
@@ -148,7 +170,7 @@
                     let applied = carriers.iter().filter(|it| it.applied).count();
                     applied > carriers.len() / 2
                 }
-                _ => is_majority_of_every_list(&carriers),
+                _ => is_majority_of_every_list(&carriers, self.unlisted()),
             };
             if majority {
                 majority_since.get_or_insert(self.now);
@@ -156,7 +178,13 @@
             let proceed = match self.mistake {
                 Mistake::NoWait => majority_since.is_some(),
                 Mistake::NoMajority => self.now.since(learned_at) >= Span::from_millis(1_650),
-                _ => is_primary_unused(self.now, &carriers, majority_since, learned_at),
+                _ => is_primary_unused(
+                    self.now,
+                    &carriers,
+                    self.unlisted(),
+                    majority_since,
+                    learned_at,
+                ),
             };
             if proceed {
                 break;
@@ -164,15 +192,25 @@
             self.step(true);
         }
         (1..ALL).find(|own| {
-            let carries = self.listed[*own].is_some_and(|listed| listed <= self.version[*own]);
+            let carries = self.is_listed(*own, self.version[*own]);
             carries && self.version[*own] < new && self.grants[*own].expires_at() > self.now
         })
     }
 
+    /// Number of carriers that may exist beyond those in the store: the other slots, if it has
+    /// lost writes.
+    fn unlisted(&self) -> usize {
+        if self.store_version < ERA || self.mistake == Mistake::LostRowsIgnored {
+            return 0;
+        }
+        (0..ALL).filter(|it| !self.is_listed(*it, self.store_version)).count()
+    }
+
     fn carrier_state(&self, it: usize, new: u64) -> Option<CarrierState> {
+        let listed = self.listed[it].filter(|_| self.is_listed(it, new))?;
         Some(CarrierState {
             applied: self.shown[it] >= new,
-            listed: self.listed[it]?,
+            listed,
             settled: it < DAEMONS,
             shown: self.shown[it],
         })
@@ -212,6 +250,30 @@
     }
 }
 
+/// Adds carriers, whose rows the store then loses while most of them cannot reach it.
+fn join_and_lose_rows(world: &mut World) {
+    for _ in 0..JOINERS {
+        world.join();
+        for _ in 0..8 {
+            world.step(false);
+        }
+    }
+    for joiner in DAEMONS..ALL {
+        world.store_cut[joiner] = world.rng.random_bool(0.9);
+    }
+    world.lose_joiners();
+    let steps = world.rng.random_range(0..40);
+    for _ in 0..steps {
+        world.step(false);
+    }
+}
+
+fn violations_after_lost_writes(mistake: Mistake) -> usize {
+    (0..500)
+        .filter(|seed| World::new(*seed, mistake).fail_over(join_and_lose_rows).is_some())
+        .count()
+}
+
 fn violations(mistake: Mistake) -> usize {
     (0..3_000)
         .filter(|seed| World::new(*seed, mistake).fail_over(partition_randomly).is_some())
@@ -237,6 +299,16 @@
     assert_eq!(violations_while_joining(Mistake::None), 0);
 }
 
+#[test]
+fn no_daemon_uses_the_old_primary_when_the_store_has_lost_the_rows_of_carriers() {
+    assert_eq!(violations_after_lost_writes(Mistake::None), 0);
+}
+
+#[test]
+fn the_check_detects_that_lost_rows_are_ignored() {
+    assert!(violations_after_lost_writes(Mistake::LostRowsIgnored) > 0);
+}
+
 #[test]
 fn the_check_detects_a_majority_of_the_newest_list_only() {
     assert!(violations_while_joining(Mistake::NewestList) > 0);
@@ -317,7 +389,7 @@
 #[test]
 fn a_majority_counts_only_carriers_on_the_lists_of_the_others() {
     fn check(expected: bool, fields: &[(bool, u64, bool, u64)]) {
-        assert_eq!(is_majority_of_every_list(&carrier_states(fields)), expected, "{fields:?}");
+        assert_eq!(is_majority_of_every_list(&carrier_states(fields), 0), expected, "{fields:?}");
     }
     let old = (true, 1, true, 9);
     let joined = (true, 5, false, 9);
@@ -337,6 +409,6 @@
     let learned_at = Time::from_micros(50_000_000);
     let carriers = carrier_states(&[(true, 1, true, 9), (true, 1, true, 9), (false, 1, true, 0)]);
     let at = |millis| learned_at + Span::from_millis(millis);
-    assert!(!is_primary_unused(at(100), &carriers, Some(learned_at), learned_at));
-    assert!(is_primary_unused(at(1_700), &carriers, Some(learned_at), learned_at));
+    assert!(!is_primary_unused(at(100), &carriers, 0, Some(learned_at), learned_at));
+    assert!(is_primary_unused(at(1_700), &carriers, 0, Some(learned_at), learned_at));
 }
