Expire a listed carrier that was never heard

Cause: silence was counted from the last heartbeat, and this daemon has heard none. Fix: silence counts from when the carrier was listed. Test: a_carrier_that_was_never_heard_counts_as_silent_since_it_was_listed (the function is new, so it could not fail before).

--- a/crates/entry/src/control/peers.rs
+++ b/crates/entry/src/control/peers.rs
@@ -27,6 +27,8 @@
     pub(crate) addr: SocketAddr,
     pub(crate) run: u64,
     pub(crate) last_heard: Option<Time>,
+    /// When this daemon first read that it is a carrier.
+    listed_at: Time,
     /// When it last reported that the store answers it; without that, it cannot replace
     /// primaries.
     store_reachable_at: Option<Time>,
@@ -38,11 +40,15 @@
 
 impl Peers {
     /// Replaces the list of carriers; one that keeps its name and address keeps its state.
-    pub(crate) fn set_peers(&mut self, listed: impl Iterator<Item = (String, SocketAddr)>) {
+    pub(crate) fn set_peers(
+        &mut self,
+        now: Time,
+        listed: impl Iterator<Item = (String, SocketAddr)>,
+    ) {
         let mut peers = FastMap::default();
         for (name, addr) in listed {
             let known = self.peers.remove(&name).filter(|peer| peer.addr == addr);
-            peers.insert(name, known.unwrap_or_else(|| Peer::new(addr)));
+            peers.insert(name, known.unwrap_or_else(|| Peer::new(now, addr)));
         }
         self.peers = peers;
     }
@@ -103,11 +109,12 @@
 }
 
 impl Peer {
-    fn new(addr: SocketAddr) -> Peer {
+    fn new(listed_at: Time, addr: SocketAddr) -> Peer {
         Peer {
             addr,
             run: 0,
             last_heard: None,
+            listed_at,
             store_reachable_at: None,
             version: 0,
             last_number: 0,
@@ -119,6 +126,11 @@
         self.last_heard.is_some_and(|at| now.since(at) <= span)
     }
 
+    /// Since when it has been silent: its last heartbeat, or when it was listed if it has sent none.
+    pub(crate) fn silent_since(&self) -> Time {
+        self.last_heard.unwrap_or(self.listed_at)
+    }
+
     /// Values of `echo` and `echo_run` for a heartbeat to this carrier.
     pub(crate) fn echo(&self) -> (u64, u64) {
         (self.last_number, self.run)
--- a/crates/entry/src/control/peers/tests.rs
+++ b/crates/entry/src/control/peers/tests.rs
@@ -31,8 +31,8 @@
 fn heartbeats_do_not_show_that_the_lease_holder_reaches_the_store() {
     let mut peers = Peers::default();
     let addr = SocketAddr::from(([127, 0, 0, 1], 1));
-    peers.set_peers([("holder".to_owned(), addr)].into_iter());
     let start = Time::from_micros(1_000_000);
+    peers.set_peers(start, [("holder".to_owned(), addr)].into_iter());
     peers.receive(start, 1, &heartbeat(1, true));
     let later = start + Span::from_millis(1_500);
     peers.receive(later, 1, &heartbeat(2, false));
@@ -47,9 +47,25 @@
 fn heartbeat_that_arrives_out_of_order_is_ignored() {
     let mut peers = Peers::default();
     let addr = SocketAddr::from(([127, 0, 0, 1], 1));
-    peers.set_peers([("holder".to_owned(), addr)].into_iter());
     let start = Time::from_micros(1_000_000);
+    peers.set_peers(start, [("holder".to_owned(), addr)].into_iter());
     peers.receive(start, 1, &heartbeat(5, false));
     peers.receive(start + Span::from_millis(10), 1, &heartbeat(4, true));
     assert_eq!(peers.store_reachable_at("holder", RUN), None);
 }
+
+/// Guards against a carrier that keeps its slot for ever: an older copy of the store lists a VM that
+/// was removed before this daemon started.
+#[test]
+fn a_carrier_that_was_never_heard_counts_as_silent_since_it_was_listed() {
+    let mut peers = Peers::default();
+    let addr = SocketAddr::from(([127, 0, 0, 1], 1));
+    let start = Time::from_micros(1_000_000);
+    let listed = || [("holder".to_owned(), addr)].into_iter();
+    peers.set_peers(start, listed());
+    peers.set_peers(start + Span::from_millis(500), listed());
+    assert_eq!(peers.peers["holder"].silent_since(), start);
+    let heard = start + Span::from_millis(900);
+    peers.receive(heard, 1, &heartbeat(1, true));
+    assert_eq!(peers.peers["holder"].silent_since(), heard);
+}
--- a/crates/entry/src/control/task/carrier_role.rs
+++ b/crates/entry/src/control/task/carrier_role.rs
@@ -151,9 +151,8 @@
         if !self.coordinator.is_holder() || !could_hear {
             return;
         }
-        let gone = self.peers.peers.iter().find(|(_, peer)| {
-            peer.last_heard.is_some_and(|heard| now.since(heard) >= CARRIER_EXPIRY)
-        });
+        let mut peers = self.peers.peers.iter();
+        let gone = peers.find(|(_, peer)| now.since(peer.silent_since()) >= CARRIER_EXPIRY);
         let Some((vm, _)) = gone else { return };
         let Some((place, record, version)) = self.coordination.carrier(vm) else { return };
         let record = CarrierRecord { since_ms: self.store_ms, gone: true, ..record.clone() };
--- a/crates/entry/src/control/task/rows.rs
+++ b/crates/entry/src/control/task/rows.rs
@@ -270,7 +270,7 @@
         let own = self.settings.vm.as_str();
         let records = self.coordination.carriers.values().map(|(record, _)| record);
         let others = records.clone().filter(|record| record.vm != own);
-        self.peers.set_peers(others.map(|record| (record.vm.clone(), record.addr)));
+        self.peers.set_peers(clock::now(), others.map(|record| (record.vm.clone(), record.addr)));
         self.grant.set_peers(self.peers.peers.keys().map(String::as_str));
         self.copies.set_peers(self.peers.peers.keys().map(String::as_str));
         self.carrier_directory.set(clock::now(), records);
