Replace a primary whose entry is gone

Symptom: a group is refused to the end if all daemons start anew after its primary has left: the record names a member that is not listed. Cause: a failover starts when daemons find the primary failed, and none has a connection to it. Fix: it also starts when the primary's entry has been missing for 2.3 s; entries that lapse are back within two. Test: a_primary_whose_entry_is_gone_is_replaced, fails with the one arm undone.

--- a/crates/succession/src/failover.rs
+++ b/crates/succession/src/failover.rs
@@ -16,6 +16,9 @@
 /// Time for which a candidate is excluded after the platform declined its promotion or the
 /// promotion timed out.
 const EXCLUDED_FOR: Span = Span::from_millis(1_000);
+/// How long the entry of a primary must have been missing before it counts as gone: entries that
+/// lapse during an outage of the store are back within two seconds of its end.
+const ENTRY_RETURN_TIMEOUT: Span = Span::from_millis(2_300);
 /// Time that members have to answer before they are asked again who the primary is.
 const IDENTIFICATION_TIMEOUT: Span = Span::from_millis(500);
 /// Minimum time between two actions of a failover, so that answers can arrive in between.
@@ -28,6 +31,8 @@
     /// Members that are not chosen again before the given time.
     excluded: FastMap<String, Time>,
     last_action: Option<Time>,
+    /// Since when the primary has not been among the members.
+    missing_since: Option<Time>,
 }
 
 #[derive(Debug, Default)]
@@ -158,7 +163,7 @@
         let Some(record) = view.record else { return first_record(view.members) };
         if !record.changing {
             self.phase = Phase::Idle;
-            return start_if_needed(record, view);
+            return self.start_if_needed(now, record, view);
         }
         if !view.may_promote || self.acted_recently(now) {
             return None;
@@ -180,6 +185,42 @@
         self.last_action.is_some_and(|at| now.since(at) < ACTION_INTERVAL)
     }
 
+    /// Returns the write that starts a failover if the primary has failed, leaves or is gone.
+    fn start_if_needed(
+        &mut self,
+        now: Time,
+        record: &PrimaryRecord,
+        view: &FailoverView<'_>,
+    ) -> Option<Action> {
+        let primary = view.members.iter().find(|member| member.id == record.primary);
+        let missing_since = match primary {
+            Some(_) => None,
+            None => Some(self.missing_since.unwrap_or(now)),
+        };
+        self.missing_since = missing_since;
+        let other = view.members.iter().any(|it| it.id != record.primary && !it.leaving);
+        if !other {
+            return None;
+        }
+        let is_gone = missing_since.is_some_and(|at| now.since(at) >= ENTRY_RETURN_TIMEOUT);
+        let (planned, reason) = match (view.assessment, primary) {
+            (Assessment::Replace, _) => (false, "enough daemons find the primary failed"),
+            (Assessment::Keep, Some(primary)) if primary.leaving => {
+                (true, "the primary is leaving")
+            }
+            // No daemon has a connection to it, so none can find it failed.
+            (Assessment::Keep, None) if is_gone => (false, "the primary's entry is gone"),
+            (Assessment::Keep, _) => return None,
+        };
+        let record = PrimaryRecord {
+            primary: record.primary.clone(),
+            changing: true,
+            planned,
+            ..PrimaryRecord::default()
+        };
+        Some(Action::Write { record, reason })
+    }
+
     /// Asks the members who the primary is. If they show it, nothing has to change, and no carrier
     /// has to stop using it.
     fn identify_primary(&mut self, now: Time, view: &FailoverView<'_>) -> Option<Action> {
@@ -343,23 +384,3 @@
         PrimaryRecord { primary, changing: true, in_doubt: true, ..PrimaryRecord::default() };
     Some(Action::Write { record, reason: "the store may have lost a later record" })
 }
-
-fn start_if_needed(record: &PrimaryRecord, view: &FailoverView<'_>) -> Option<Action> {
-    let primary = view.members.iter().find(|member| member.id == record.primary);
-    let other = view.members.iter().any(|member| member.id != record.primary && !member.leaving);
-    if !other {
-        return None;
-    }
-    let (planned, reason) = match (view.assessment, primary) {
-        (Assessment::Replace, _) => (false, "enough daemons find the primary failed"),
-        (Assessment::Keep, Some(primary)) if primary.leaving => (true, "the primary is leaving"),
-        (Assessment::Keep, _) => return None,
-    };
-    let record = PrimaryRecord {
-        primary: record.primary.clone(),
-        changing: true,
-        planned,
-        ..PrimaryRecord::default()
-    };
-    Some(Action::Write { record, reason })
-}
--- a/crates/succession/tests/changes.rs
+++ b/crates/succession/tests/changes.rs
@@ -98,6 +98,18 @@
     assert_eq!(written_record(case.tick()), Some(record("p", true, true)));
 }
 
+/// All daemons started after it had left, so none has tried to reach it.
+#[test]
+fn a_primary_whose_entry_is_gone_is_replaced() {
+    let mut case = Case::new();
+    case.members.remove(0);
+    assert_eq!(case.tick(), None, "an entry that has lapsed may come back");
+    case.now = case.now + Span::from_millis(2_000);
+    assert_eq!(case.tick(), None);
+    case.now = case.now + Span::from_millis(300);
+    assert_eq!(written_record(case.tick()), Some(record("p", true, false)));
+}
+
 #[test]
 fn nothing_is_promoted_while_a_daemon_may_use_the_old_primary() {
     let mut case = Case::changing(false);
