Soak: a store that loses its latest writes, and fencing tokens

A series of its own, beside changes of the configuration, planned operations and standstills: the store is copied, and restored from the copy when the fault ends; the operator and the members write again up to two seconds later. Tokens of failover calls that fall or are shared are violations.

--- a/crates/soak/src/deployment.rs
+++ b/crates/soak/src/deployment.rs
@@ -106,6 +106,11 @@
         Ok(kept.collect::<Result<_, _>>()?)
     }
 
+    /// Returns the failover calls whose fencing token was not above those of earlier holders.
+    pub(crate) async fn fence_violations(&self) -> Result<Vec<String>, SoakError> {
+        self.query("fence-violations").await
+    }
+
     /// Name of the extra database, and whether the newest configuration contains it.
     pub(crate) fn extra_database(&self) -> (&'static str, bool) {
         ("extra", self.has_extra_database)
@@ -159,6 +164,7 @@
             }
             Fault::LoseAnswers(count) => self.steer(&TestCmd::LoseAnswers(count)).await?,
             Fault::Forget => self.steer(&TestCmd::Forget).await?,
+            Fault::LoseWrites(_) => self.steer(&TestCmd::CopyStore).await?,
             Fault::Lag(millis) => self.steer(&TestCmd::LagMs(millis)).await?,
             Fault::Configure => {
                 self.has_extra_database = !self.has_extra_database;
@@ -206,6 +212,9 @@
                 self.steer(&TestCmd::StoreDown(false)).await?;
             }
             Fault::LoseAnswers(_) => self.steer(&TestCmd::LoseAnswers(0)).await?,
+            Fault::LoseWrites(rewrite_after_ms) => {
+                self.steer(&TestCmd::RestoreStore(rewrite_after_ms)).await?;
+            }
             Fault::Lag(_) => self.steer(&TestCmd::LagMs(DEFAULT_LAG_MS)).await?,
             Fault::Terminate(_) | Fault::Hangup(_) | Fault::Forget | Fault::Configure => {}
         }
--- a/crates/soak/src/fault.rs
+++ b/crates/soak/src/fault.rs
@@ -19,6 +19,11 @@
 const CHANGE_INTERVAL_MS: (u64, u64) = (400, 6_000);
 const OPERATION_INTERVAL_MS: (u64, u64) = (1_500, 6_000);
 const STANDSTILL_INTERVAL_MS: (u64, u64) = (1_000, 4_000);
+/// Range of the time between two losses of the store's latest writes, in ms.
+const LOSS_INTERVAL_MS: (u64, u64) = (2_500, 8_000);
+/// Longest time after a loss until the operator and the members have written again, in ms: the users
+/// state about two seconds.
+const REWRITE_MAX_MS: u64 = 2_000;
 
 /// A failure or a planned operation. Daemons, members and groups are given by index, sets of
 /// daemons as bit masks.
@@ -58,6 +63,10 @@
     LoseAnswers(u32),
     /// Makes the store discard its change history.
     Forget,
+    /// Copies the store, and restores it from the copy when the fault ends, so that it has lost all
+    /// that was written meanwhile. The operator and the members write again this many milliseconds
+    /// later.
+    LoseWrites(u64),
     /// Delays replication by this many milliseconds.
     Lag(u64),
     /// Changes the configuration: adds the extra database or removes it.
@@ -72,8 +81,8 @@
     pub(crate) fault: Fault,
 }
 
-/// Chooses the faults of a run. They may overlap. Changes of the configuration, planned operations
-/// and standstills come in series of their own beside the others.
+/// Chooses the faults of a run. They may overlap. Changes of the configuration, planned operations,
+/// standstills and losses of the store's writes come in series of their own beside the others.
 pub(crate) fn schedule(options: &Options, rng: &mut ChaCha8Rng) -> Vec<ScheduledFault> {
     let mut faults = mixed_faults(options, rng);
     faults.extend(series(options, rng, CHANGE_INTERVAL_MS, |_| Fault::Configure));
@@ -82,6 +91,8 @@
     if !options.is_planned_only() {
         let standstill = |rng: &mut ChaCha8Rng| Fault::Pause(rng.random_range(0..options.daemons));
         faults.extend(series(options, rng, STANDSTILL_INTERVAL_MS, standstill));
+        let loss = |rng: &mut ChaCha8Rng| Fault::LoseWrites(rng.random_range(0..REWRITE_MAX_MS));
+        faults.extend(series(options, rng, LOSS_INTERVAL_MS, loss));
     }
     faults
 }
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -138,6 +138,7 @@
     check_configuration(&deployment, &addrs, &history).await;
     let mut history = history.take();
     check::commits(&mut history, &deployment.commits().await?);
+    history.violations.extend(deployment.fence_violations().await?);
     Ok(Outcome {
         statements: history.statements,
         successes: history.successes,
--- a/crates/standins/src/lines/control.rs
+++ b/crates/standins/src/lines/control.rs
@@ -1,7 +1,7 @@
 //! HTTP routes of the failover call, and of the calls with which tests and the soak program
 //! inject faults and read the stand-in's state.
 
-use std::net::SocketAddr;
+use std::{net::SocketAddr, time::Duration};
 
 use axum::{
     Json, Router,
@@ -36,10 +36,8 @@
     /// Copies the store's contents.
     CopyStore,
     /// Restores the store from the last copy, so that all later writes are lost. The operator and
-    /// the members do not write again before [`TestCmd::Rewrite`].
-    RestoreStore,
-    /// Makes the operator and the members write again what they wrote last.
-    Rewrite,
+    /// the members write again after this time, in milliseconds.
+    RestoreStore(u64),
     /// Sets the replication lag of all groups, in milliseconds.
     LagMs(u64),
     /// Index of a group, and whether a primary that is replaced is cut off from the other members,
@@ -91,8 +89,13 @@
             state.rows.discarded_version = state.rows.version;
         }
         TestCmd::CopyStore => platform.copy_store(),
-        TestCmd::RestoreStore => platform.restore_store(),
-        TestCmd::Rewrite => platform.rewrite(),
+        TestCmd::RestoreStore(rewrite_after_ms) => {
+            platform.restore_store();
+            tokio::spawn(async move {
+                tokio::time::sleep(Duration::from_millis(rewrite_after_ms)).await;
+                platform.rewrite();
+            });
+        }
         TestCmd::LagMs(millis) => {
             for group in 0..platform.shared.groups.len() {
                 platform.group(group).set_lag(Span::from_millis(millis));
