PostgreSQL edition: end claims with the era of the store; terms above all earlier ones

Symptom: none seen by users; found by asking what an older copy does to each row. A home whose claim the copy still holds relied on its memory of callers' writes although another had been home since; an attempt took a term that a lost attempt had used, and two drivers shared it. Cause: a claim or a record was taken for the present one since it is in the store, and numbers were counted from the copy. Evidence: with the era left out (the mutation KeepEra) the schedules of crates/schedules find violations; with it 600 schedules with lost writes, a fault and a takeover have none. A claim names its era and ends with it; whoever claims next waits for the exclusive period, since it cannot know the previous home. A record is a daemon's own only in the era in which it wrote it, so that a home elects anew; its term is above all of earlier eras. Rows that the copy lacks count as deleted in the new era. Members' rows that the copy has in an earlier form stay as they are known until they change. base::store_version holds the order of versions for both editions.

Tests: a_claim_of_an_earlier_era_of_the_store_has_ended, a_term_is_above_those_whose_records_an_older_ copy_lacks, invariants_hold_when_the_store_loses_writes. Not run on the code before: these use new functions; the mutation stands for it.

--- a/crates/base/src/lib.rs
+++ b/crates/base/src/lib.rs
@@ -8,6 +8,7 @@
 mod position;
 mod rank;
 mod request;
+pub mod store_version;
 mod term;
 mod time;
 mod vm;
--- a/platform/src/version.rs
+++ b/crates/base/src/store_version.rs
@@ -1,11 +1,9 @@
-//! Versions of the store's rows, ordered across the store's eras.
+//! Versions of the rows of the platform's store, ordered across the store's eras.
 //!
 //! The store's counter goes back when the store comes back from an older copy, and the same numbers
 //! are given out again. The era, which rises each time, makes them comparable: it is kept in the
 //! upper bits of a version, so that any version of a later era is greater.
 
-use crate::call_error::CallError;
-
 /// Bits of a version that hold the store's own number; the era is above them.
 const NUMBER_BITS: u32 = 40;
 const NUMBER_MASK: u64 = (1 << NUMBER_BITS) - 1;
@@ -16,14 +14,12 @@
 }
 
 /// The number that the store itself uses for a version.
-pub(crate) fn number(version: u64) -> u64 {
+pub fn number(version: u64) -> u64 {
     version & NUMBER_MASK
 }
 
-/// The version with this number, as read in this era.
-pub(crate) fn in_era(era: u64, number: u64) -> Result<u64, CallError> {
+/// The version with this number, as read in this era; `None` if one of them is out of range.
+pub fn in_era(era: u64, number: u64) -> Option<u64> {
     let is_valid = number <= NUMBER_MASK && era <= u64::MAX >> NUMBER_BITS;
-    is_valid.then_some((era << NUMBER_BITS) | number).ok_or_else(|| CallError::Undecodable {
-        message: format!("version {number} of era {era} is out of range"),
-    })
+    is_valid.then_some((era << NUMBER_BITS) | number)
 }
--- a/crates/daemon/src/control/control_event.rs
+++ b/crates/daemon/src/control/control_event.rs
@@ -1,6 +1,6 @@
 use base::{GroupId, Time, VmId};
 use peers::{Heartbeat, IncomingCall, RowCopy};
-use platform::{Row, VmRecord};
+use platform::{Row, Rows, VmRecord};
 
 /// Event that the control task handles.
 #[derive(Debug)]
@@ -9,8 +9,8 @@
     Polled {
         /// When the request was sent; claims are confirmed as of this time.
         asked_at: Time,
-        /// Rows that have changed since the last poll.
-        rows: Vec<Row>,
+        /// Rows that have changed since the last poll, or all rows.
+        rows: Rows,
     },
     /// A group's primary record and claim were read, in this order.
     LeadershipRead {
--- a/crates/daemon/src/control/platform_writes.rs
+++ b/crates/daemon/src/control/platform_writes.rs
@@ -50,10 +50,11 @@
 
 /// Writes a claim. The next poll shows whether the write took effect.
 pub(crate) async fn write_claim(client: Client, action: HomeAction) {
-    let HomeAction::Claim { group, version, number, vm, incarnation, handed_over } = action else {
+    let HomeAction::Claim { group, version, number, vm, incarnation, era, handed_over } = action
+    else {
         return;
     };
-    let record = HomeRecord { number, vm, incarnation: incarnation.0, handed_over };
+    let record = HomeRecord { number, vm, incarnation: incarnation.0, handed_over, era };
     match write(&client, &HomeRecord::key(&group), version, &record).await {
         Ok(_) | Err(PlatformError::Conflict) => {}
         Err(error) => logs::warn(&format!("claiming {group} failed: {error}")),
--- a/crates/daemon/src/control/records.rs
+++ b/crates/daemon/src/control/records.rs
@@ -17,6 +17,9 @@
     pub(crate) incarnation: u64,
     /// Whether the previous holder handed the group over.
     pub(crate) handed_over: bool,
+    /// Era of the store in which it was written.
+    #[serde(default)]
+    pub(crate) era: u64,
 }
 
 impl HomeRecord {
@@ -28,12 +31,16 @@
 }
 
 pub(crate) fn decode_claim(row: &Row) -> Result<Claim, PlatformError> {
+    if row.value.is_null() {
+        return Ok(Claim { version: row.version, ..Claim::default() });
+    }
     let record: HomeRecord = row.record()?;
     Ok(Claim {
         number: record.number,
         version: row.version,
         vm: record.vm,
         incarnation: Incarnation(record.incarnation),
+        era: record.era,
         handed_over: record.handed_over,
     })
 }
@@ -41,6 +48,9 @@
 /// Decodes the [`PrimaryRecord`] in a row. The [`LeadershipRecord`], which the election works
 /// with, contains the row's version in addition, but not the VM that wrote the record.
 pub(crate) fn decode_leadership_record(row: &Row) -> Result<LeadershipRecord, PlatformError> {
+    if row.value.is_null() {
+        return Ok(LeadershipRecord { version: row.version, ..LeadershipRecord::default() });
+    }
     let record: PrimaryRecord = row.record()?;
     Ok(LeadershipRecord {
         version: row.version,
--- a/crates/daemon/src/control/task.rs
+++ b/crates/daemon/src/control/task.rs
@@ -4,14 +4,15 @@
     time::Duration,
 };
 
-use base::{FastMap, GroupId, Span, Zone};
+use base::{FastMap, FastSet, GroupId, Span, Time, Zone, store_version};
 use futures_channel::{mpsc as orders_mpsc, oneshot};
 use futures_util::StreamExt;
 use membership::{HomeAction, Homes, HomesConfig, Incarnation, Vm, Vms};
 use peers::{
     DaemonClient, DaemonReport, Heartbeat, IncomingCall, Reachability, ReachabilityQuery, RowCopy,
 };
-use platform::{Client, MembersRecord, PrimaryRecord, Row, VmRecord};
+use platform::{Client, MembersRecord, PrimaryRecord, Row, Rows, VmRecord};
+use serde_json::Value;
 use settings::Settings;
 use table::Table;
 use tokio::sync::{Notify, mpsc};
@@ -63,6 +64,8 @@
     heartbeats: PeerHeartbeats,
     table: Option<(u64, String)>,
     rows: FastMap<String, Row>,
+    /// Newest era of the store, and when this daemon noticed it.
+    era: (u64, Time),
     poll_now: Arc<Notify>,
     orders: orders_mpsc::UnboundedSender<Order>,
     held_claims: Arc<atomic::AtomicUsize>,
@@ -108,6 +111,7 @@
             heartbeats,
             table: None,
             rows: FastMap::default(),
+            era: (0, Time::default()),
             poll_now,
             orders,
             held_claims,
@@ -127,8 +131,10 @@
     fn handle_event(&mut self, event: ControlEvent) {
         match event {
             ControlEvent::Polled { asked_at, rows } => {
+                self.observe_era(store_version::era(rows.revision));
                 self.send(Order::TableConfirmed { asked_at });
-                self.merge_rows(rows);
+                let lost = if rows.complete { self.lost_rows(&rows) } else { Vec::new() };
+                self.merge_rows(rows.rows.into_iter().chain(lost));
                 let mut actions = Vec::new();
                 self.homes.confirmed(&self.vms, asked_at, &mut actions);
                 self.execute(actions);
@@ -149,6 +155,27 @@
         }
     }
 
+    /// Records the store's era. Claims of earlier eras end with it.
+    fn observe_era(&mut self, era: u64) {
+        if era <= self.era.0 {
+            return;
+        }
+        logs::event("store era", &serde_json::json!({"era": era, "previous": self.era.0}));
+        self.era = (era, self.clock.now());
+        self.homes.observe_era(era);
+    }
+
+    /// The daemons' rows of an earlier era that are missing in the present one, as deleted in it.
+    fn lost_rows(&self, rows: &Rows) -> Vec<Row> {
+        let listed: FastSet<&str> = rows.rows.iter().map(|row| row.key.as_str()).collect();
+        let own = self.rows.values().filter(|row| {
+            row.key.starts_with(HomeRecord::PREFIX) || row.key.starts_with(PrimaryRecord::PREFIX)
+        });
+        let lost = own.filter(|row| !listed.contains(row.key.as_str()));
+        let version = store_version::in_era(self.era.0, 0).unwrap_or_default();
+        lost.map(|row| Row { version, value: Value::Null, key: row.key.clone() }).collect()
+    }
+
     /// Applies the rows that are newer than the cached ones.
     ///
     /// Claims come first: a daemon that has lost its claim must stop being the home before
@@ -163,10 +190,16 @@
 
     fn merge_newer_rows(&mut self, rows: Vec<Row>) {
         for row in rows {
-            let known = self.rows.get(&row.key).map_or(0, |known| known.version);
-            if known >= row.version {
+            let known = self.rows.get(&row.key);
+            if known.is_some_and(|known| known.version >= row.version) {
                 continue;
             }
+            let row = match known {
+                Some(known) if is_older_copy(known, &row) => {
+                    Row { version: row.version, ..known.clone() }
+                }
+                _ => row,
+            };
             if let Err(error) = self.apply_row(&row) {
                 logs::warn(&format!("invalid row {}: {error}", row.key));
             }
@@ -416,6 +449,15 @@
     }
 }
 
+/// Whether a row of members was read in a later era than the known one, but is one that the store
+/// had before: an older copy has it. The operators write what is lost again.
+fn is_older_copy(known: &Row, row: &Row) -> bool {
+    let is_first_of_era = store_version::era(known.version) < store_version::era(row.version);
+    row.key.starts_with(MembersRecord::PREFIX)
+        && is_first_of_era
+        && store_version::number(row.version) < store_version::number(known.version)
+}
+
 async fn serve_peers(listener: TcpListener, secret: String, tx: mpsc::Sender<ControlEvent>) {
     let (calls, mut incoming) = mpsc::channel(CHANNEL_CAPACITY);
     tokio::spawn(async move {
--- a/crates/daemon/src/control/watch.rs
+++ b/crates/daemon/src/control/watch.rs
@@ -66,7 +66,7 @@
             self.fetch_table(row).await?;
         }
         self.revision = changed.revision;
-        self.send(ControlEvent::Polled { asked_at, rows: changed.rows }).await;
+        self.send(ControlEvent::Polled { asked_at, rows: changed }).await;
         if with_vms {
             let vms = self.client.vms().await?;
             self.send(ControlEvent::Vms(vms)).await;
--- a/crates/entry/src/control/coordination/tests.rs
+++ b/crates/entry/src/control/coordination/tests.rs
@@ -1,5 +1,5 @@
 use adapter::StoreClient;
-use base::Span;
+use base::{Span, store_version};
 use standins::lines::{Options, Platform};
 
 use super::{CoordinationState, STATE_TABLE};
@@ -8,7 +8,7 @@
 async fn read(store: &StoreClient) -> CoordinationState {
     let rows = store.rows(STATE_TABLE).await.expect("the store answers");
     let mut coordination = CoordinationState::default();
-    coordination.begin_era(adapter::era(rows.version), false);
+    coordination.begin_era(store_version::era(rows.version), false);
     coordination.apply_rows(&rows.rows);
     coordination
 }
@@ -42,7 +42,7 @@
     assert_eq!(holder(&read(&store).await), None, "a lease of the earlier era has ended");
     let new = claim(&read(&store).await, "d");
     let new_version = store.apply(&new).await.expect("the claim succeeds");
-    assert_eq!(adapter::era(new_version), adapter::era(lost_version) + 1);
+    assert_eq!(store_version::era(new_version), store_version::era(lost_version) + 1);
     let era_difference = new_version - lost_version;
     assert!(era_difference.is_power_of_two(), "the store has given out the same number");
     assert!(store.apply(&late).await.is_err());
--- a/crates/entry/src/control/tables.rs
+++ b/crates/entry/src/control/tables.rs
@@ -1,7 +1,7 @@
 use std::cmp::Ordering;
 
 use adapter::{OPERATOR_TABLE, Revision, Row, Rows};
-use base::{FastMap, FastSet};
+use base::{FastMap, FastSet, store_version};
 
 /// Cache of the rows of several tables, as last read from the store or from another daemon.
 #[derive(Debug, Default)]
@@ -133,7 +133,7 @@
         let is_older = row.version <= self.row.version;
         let (Some(known), Some(received)) = (self.revision, revision) else { return is_older };
         let is_deleted = self.row.value.is_none();
-        let era = adapter::era(row.version).cmp(&adapter::era(self.row.version));
+        let era = store_version::era(row.version).cmp(&store_version::era(self.row.version));
         if known.incarnation != received.incarnation {
             return match era {
                 Ordering::Equal => is_older,
--- a/crates/entry/src/control/task.rs
+++ b/crates/entry/src/control/task.rs
@@ -4,7 +4,7 @@
     CallError, Config, FailoverClient, Group, MEMBERS_TABLE, MemberEntry, MemberRole, MemberState,
     OPERATOR_TABLE, Rows, Settings, StoreClient,
 };
-use base::{FastMap, MemberId, Span, Time};
+use base::{FastMap, MemberId, Span, Time, store_version};
 use futures_channel::mpsc;
 use futures_util::StreamExt;
 use succession::{
@@ -267,7 +267,7 @@
                     MEMBERS_TABLE => self.members_followed.record_answer(asked_at),
                     _ => {}
                 }
-                let (era, store_ms) = (adapter::era(rows.version), rows.clock_ms);
+                let (era, store_ms) = (store_version::era(rows.version), rows.clock_ms);
                 self.apply_rows(table, rows, complete);
                 // A store that has lost writes says nothing about them.
                 if let Some(copied) = rows::copied(table)
@@ -324,7 +324,7 @@
 
     /// Records the store's era, and starts to follow its clock anew when it has changed.
     fn observe_era(&mut self, table: &str, rows: &Rows) {
-        let era = adapter::era(rows.version);
+        let era = store_version::era(rows.version);
         if era <= self.store_era {
             return;
         }
--- a/crates/entry/src/control/task/rows.rs
+++ b/crates/entry/src/control/task/rows.rs
@@ -5,7 +5,7 @@
 use adapter::{
     CONFIG_KEY, Config, MEMBERS_TABLE, MemberEntry, MemberState, OPERATOR_TABLE, Row, Rows,
 };
-use base::{FastMap, MemberId, Span, Time};
+use base::{FastMap, MemberId, Span, Time, store_version};
 use pool::{MemberSpec, Shares};
 use succession::Copied;
 
@@ -48,7 +48,7 @@
     }
 
     pub(super) fn apply_rows(&mut self, table: &'static str, rows: Rows, complete: bool) {
-        let era = adapter::era(rows.version);
+        let era = store_version::era(rows.version);
         if table == STATE_TABLE && era > self.coordination.era {
             self.begin_era(era);
         }
@@ -57,7 +57,7 @@
             self.shared.count(Counter::OutdatedRows);
             logs::event(
                 "outdated rows",
-                &serde_json::json!({"table": table, "rows": outdated, "era": adapter::era(rows.version),
+                &serde_json::json!({"table": table, "rows": outdated, "era": era,
                     "version": rows.version, "newest": self.tables.newest(table)}),
             );
         }
--- a/crates/leadership/src/election.rs
+++ b/crates/leadership/src/election.rs
@@ -1,4 +1,4 @@
-use base::{MemberId, Span, Term, Time};
+use base::{MemberId, Span, Term, Time, store_version};
 
 use crate::{
     action::Action,
@@ -7,6 +7,10 @@
     record::LeadershipRecord,
 };
 
+/// Bits of a term that count the attempts within an era of the platform's store; the eras before are
+/// above them.
+const TERM_ERA_SHIFT: u32 = 32;
+
 /// Settings of an election.
 #[derive(Clone, Debug)]
 pub struct ElectionConfig {
@@ -101,11 +105,16 @@
 
     /// Whether the present record names a primary and was written by this daemon's run.
     pub fn owns(&self) -> bool {
-        self.record.primary.is_some() && self.is_own(&self.record.attempt)
+        self.record.primary.is_some() && self.is_own(&self.record)
     }
 
-    fn is_own(&self, attempt: &str) -> bool {
-        attempt.rsplit_once('#').is_some_and(|(name, _)| name == self.cfg.name)
+    /// Whether this daemon's run wrote the record in the present era of the store. A record of an
+    /// earlier era may have been replaced by one that the store has lost.
+    fn is_own(&self, record: &LeadershipRecord) -> bool {
+        let attempt = record.attempt.rsplit_once('#');
+        let written = attempt.and_then(|(name, place)| Some((name, place.split_once('.')?.0)));
+        let era = store_version::era(record.version).to_string();
+        written == Some((self.cfg.name.as_str(), era.as_str()))
     }
 
     fn suspected(&mut self, now: Time, term: Term, out: &mut Vec<Action>) {
@@ -144,9 +153,12 @@
         }
     }
 
-    /// Starts an attempt under a term higher than any seen so far.
+    /// Starts an attempt under a term higher than any seen so far, and than any that may have been
+    /// used in an earlier era of the store, whose record may be lost.
     fn start_attempt(&mut self, now: Time, out: &mut Vec<Action>) {
-        let term = self.record.term.max(self.highest_seen_term).next();
+        let earlier_eras = store_version::era(self.record.version).saturating_sub(1);
+        let lost = Term::new(earlier_eras << TERM_ERA_SHIFT);
+        let term = self.record.term.max(self.highest_seen_term).max(lost).next();
         self.attempts += 1;
         self.dismissals = 0;
         self.phase = Phase::RecordingIntent { term, since: now };
@@ -163,7 +175,8 @@
     }
 
     fn attempt(&self) -> String {
-        format!("{}#{}", self.cfg.name, self.attempts)
+        let era = store_version::era(self.record.version);
+        format!("{}#{era}.{}", self.cfg.name, self.attempts)
     }
 
     /// Processes the record as read. It may show that a write succeeded although its reply
--- a/crates/leadership/src/record.rs
+++ b/crates/leadership/src/record.rs
@@ -11,6 +11,7 @@
     pub term: Term,
     /// The primary; `None` while an election is in progress.
     pub primary: Option<MemberId>,
-    /// Attempt that wrote the record, as `RUN#NUMBER` with the name of the daemon's run.
+    /// Attempt that wrote the record, as `RUN#ERA.NUMBER` with the name of the daemon's run
+    /// and the era of the store.
     pub attempt: String,
 }
--- a/crates/leadership/src/tests.rs
+++ b/crates/leadership/src/tests.rs
@@ -1,4 +1,4 @@
-use base::{MemberId, Position, Span, Term, Time};
+use base::{MemberId, Position, Span, Term, Time, store_version};
 
 use crate::{Action, Election, ElectionConfig, Event, FenceReply, LeadershipRecord};
 
@@ -192,3 +192,23 @@
     assert!(election.owns());
     assert_eq!(feed(&mut election, 550, Event::Tick), vec![]);
 }
+
+/// The store has lost the record of an attempt under term 2, which another daemon has carried out.
+#[test]
+fn a_term_is_above_those_whose_records_an_older_copy_lacks() {
+    let in_era = |era, number| store_version::in_era(era, number).expect("in range");
+    let record = |version, attempt: &str| LeadershipRecord {
+        version,
+        term: Term::new(1),
+        primary: Some(member("m0")),
+        attempt: attempt.to_owned(),
+    };
+    let mut election = election();
+    feed(&mut election, 10, Event::Record(record(in_era(1, 5), "d1#1.1")));
+    assert!(election.owns());
+    feed(&mut election, 20, Event::Record(record(in_era(2, 5), "d1#1.1")));
+    assert!(!election.owns(), "a later record may be lost");
+    let actions = feed(&mut election, 30, Event::OwnershipRequired);
+    let [Action::Write { record, .. }] = &actions[..] else { panic!("{actions:?}") };
+    assert!(record.term > Term::new(2), "{record:?}");
+}
--- a/crates/membership/src/claim.rs
+++ b/crates/membership/src/claim.rs
@@ -13,6 +13,9 @@
     pub vm: VmId,
     /// Incarnation of the daemon that holds the claim.
     pub incarnation: Incarnation,
+    /// Era of the store in which it was written. It ends with the era, since the store may have lost
+    /// a later one.
+    pub era: u64,
     /// Whether the previous holder handed the group over, rather than lost it.
     pub handed_over: bool,
 }
--- a/crates/membership/src/home_action.rs
+++ b/crates/membership/src/home_action.rs
@@ -17,6 +17,8 @@
         vm: VmId,
         /// Incarnation of the daemon on that VM.
         incarnation: Incarnation,
+        /// Era of the store in which the claim holds.
+        era: u64,
         /// Whether this daemon hands over a claim of its own.
         handed_over: bool,
     },
--- a/crates/membership/src/homes.rs
+++ b/crates/membership/src/homes.rs
@@ -14,6 +14,8 @@
 #[derive(Debug)]
 pub struct Homes {
     cfg: HomesConfig,
+    /// Newest era of the store that is known.
+    era: u64,
     groups: BTreeMap<GroupId, Group>,
     /// View of the VMs at the last decision, as [`Vms::state_hash`], and whether the
     /// startup delay was over.
@@ -54,7 +56,7 @@
 impl Homes {
     /// Creates an empty set of groups.
     pub fn new(cfg: HomesConfig) -> Homes {
-        Homes { cfg, groups: BTreeMap::new(), last_view: None }
+        Homes { cfg, era: 0, groups: BTreeMap::new(), last_view: None }
     }
 
     /// Adds a group without a claim, unless it is known already.
@@ -62,6 +64,20 @@
         self.groups.entry(group.clone()).or_default();
     }
 
+    /// Records the store's era. Claims of earlier eras have ended: the store has come back from an
+    /// older copy, which may lack later ones.
+    pub fn observe_era(&mut self, era: u64) {
+        if era <= self.era {
+            return;
+        }
+        self.era = era;
+        for known in self.groups.values_mut() {
+            known.claim_requested_at = None;
+            known.handing_over = false;
+            known.stable = false;
+        }
+    }
+
     /// Stores the platform's record of a claim, unless the same or a later version is known.
     pub fn observe_claim(&mut self, group: &GroupId, claim: Claim) {
         let known = self.groups.entry(group.clone()).or_default();
@@ -81,7 +97,7 @@
     pub fn confirmed(&self, vms: &Vms, asked_at: Time, out: &mut Vec<HomeAction>) {
         let until = asked_at + self.cfg.exclusivity_period;
         for (group, known) in &self.groups {
-            if known.became_home && !known.handing_over && is_own(&known.claim, vms) {
+            if known.became_home && !known.handing_over && is_own(&known.claim, vms, self.era) {
                 out.push(HomeAction::Exclusive { group: group.clone(), until });
             }
         }
@@ -91,20 +107,20 @@
     /// unchanged, only groups whose claim has changed, or whose next claim is awaited, are
     /// examined.
     pub fn decide(&mut self, now: Time, vms: &Vms, out: &mut Vec<HomeAction>) {
-        let cfg = self.cfg;
+        let (cfg, era) = (self.cfg, self.era);
         let last_view = Some((vms.state_hash(now), now >= Time::default() + cfg.startup_delay));
         let changed = last_view != self.last_view;
         self.last_view = last_view;
         for (name, group) in &mut self.groups {
             if changed || !group.stable {
-                group.stable = decide_group(cfg, now, vms, name, group, out);
+                group.stable = decide_group(cfg, era, now, vms, name, group, out);
             }
         }
     }
 
     /// Number of groups whose claim is held by this daemon.
     pub fn held_count(&self, vms: &Vms) -> usize {
-        self.groups.values().filter(|group| is_own(&group.claim, vms)).count()
+        self.groups.values().filter(|group| is_own(&group.claim, vms, self.era)).count()
     }
 
     /// Where requests for a group go; `None` if the group is not known or not decided yet.
@@ -117,6 +133,7 @@
 /// daemon neither has to request a claim nor awaits the record of one.
 fn decide_group(
     cfg: HomesConfig,
+    era: u64,
     now: Time,
     vms: &Vms,
     name: &GroupId,
@@ -126,13 +143,14 @@
     let order = rendezvous::preference_order(name, vms.candidates(now));
     let preferred = order.first().map(|vm| (*vm).clone());
     let may_claim = now >= Time::default() + cfg.startup_delay;
-    let claiming = may_claim && claim_or_hand_over(now, vms, name, group, preferred.as_ref(), out);
-    let place = current_place(cfg, now, vms, group, preferred.as_ref());
+    let claiming =
+        may_claim && claim_or_hand_over(era, now, vms, name, group, preferred.as_ref(), out);
+    let place = current_place(cfg, era, now, vms, group, preferred.as_ref());
     if group.place.as_ref() != Some(&place) {
         group.place = Some(place.clone());
         out.push(HomeAction::Route { group: name.clone(), place });
     }
-    let holds = is_own(&group.claim, vms);
+    let holds = is_own(&group.claim, vms, era);
     if holds && !group.became_home {
         let exclusive_from = exclusive_from(cfg, now, vms, group);
         let takeover = takeover(&group.claim);
@@ -145,6 +163,7 @@
 /// Claims the group for this daemon, or hands it over to the preferred one. Returns
 /// whether a claim has to be requested or its record is awaited.
 fn claim_or_hand_over(
+    era: u64,
     now: Time,
     vms: &Vms,
     name: &GroupId,
@@ -154,8 +173,9 @@
 ) -> bool {
     let Some(preferred) = preferred else { return false };
     let own = &vms.own().id;
-    let holds = is_own(&group.claim, vms);
-    let unheld = !vms.is_alive(now, &group.claim.vm)
+    let holds = is_own(&group.claim, vms, era);
+    let unheld = group.claim.era != era
+        || !vms.is_alive(now, &group.claim.vm)
         || !vms.may_be_running(&group.claim.vm, group.claim.incarnation);
     let acts = (preferred == own && !holds && unheld) || (preferred != own && holds);
     let requested_recently =
@@ -175,6 +195,7 @@
         number: group.claim.number + 1,
         vm: preferred.clone(),
         incarnation,
+        era,
         handed_over: holds,
     });
     true
@@ -186,17 +207,19 @@
 /// they accept (see the crate `leadership`).
 fn current_place(
     cfg: HomesConfig,
+    era: u64,
     now: Time,
     vms: &Vms,
     group: &Group,
     preferred: Option<&VmId>,
 ) -> Place {
     let own = &vms.own().id;
-    if is_own(&group.claim, vms) {
+    if is_own(&group.claim, vms, era) {
         return Place::Here;
     }
     let holder = &group.claim.vm;
     let holder_serves = holder != own
+        && group.claim.era == era
         && vms.is_alive(now, holder)
         && vms.may_be_running(holder, group.claim.incarnation);
     let target = if holder_serves { Some(holder) } else { preferred };
@@ -212,9 +235,12 @@
 
 /// Time from which no other daemon relies on its memory of the group. This is now if there
 /// was no previous home, if its process has ended, or if it handed the group over: it
-/// stops relying on its memory before it does so.
+/// stops relying on its memory before it does so. The previous claim is known only if it is of the
+/// same era of the store.
 fn exclusive_from(cfg: HomesConfig, now: Time, vms: &Vms, group: &Group) -> Time {
-    let has_ended = |previous: &Claim| !vms.may_be_running(&previous.vm, previous.incarnation);
+    let has_ended = |previous: &Claim| {
+        previous.era == group.claim.era && !vms.may_be_running(&previous.vm, previous.incarnation)
+    };
     let exclusive_now = takeover(&group.claim) != Takeover::Unclean
         || group.previous.as_ref().is_some_and(has_ended);
     if exclusive_now { now } else { now + cfg.exclusivity_period }
@@ -222,12 +248,16 @@
 
 fn takeover(claim: &Claim) -> Takeover {
     match claim {
-        Claim { number: 0 | 1, .. } => Takeover::Initial,
+        // In a later era, earlier claims may be lost.
+        Claim { number: 0 | 1, era: 0 | 1, .. } => Takeover::Initial,
         Claim { handed_over: true, .. } => Takeover::Graceful,
         _ => Takeover::Unclean,
     }
 }
 
-fn is_own(claim: &Claim, vms: &Vms) -> bool {
-    claim.version > 0 && claim.vm == vms.own().id && claim.incarnation == vms.own_incarnation()
+fn is_own(claim: &Claim, vms: &Vms, era: u64) -> bool {
+    claim.version > 0
+        && claim.era == era
+        && claim.vm == vms.own().id
+        && claim.incarnation == vms.own_incarnation()
 }
--- a/crates/membership/src/tests.rs
+++ b/crates/membership/src/tests.rs
@@ -34,6 +34,7 @@
         version,
         vm: VmId::new(vm),
         incarnation: Incarnation(incarnation),
+        era: 0,
         handed_over: false,
     }
 }
@@ -210,3 +211,32 @@
         "a claim without effect is repeated"
     );
 }
+
+/// The store may have lost the claim of a home that still relies on its memory.
+#[test]
+fn a_claim_of_an_earlier_era_of_the_store_has_ended() {
+    let group = GroupId::new("g");
+    let order = preferred(&group);
+    let vms = view(&order[0]);
+    let own = Claim { era: 1, ..claim(1, &order[0], 1) };
+    let mut homes = Homes::new(CFG);
+    homes.observe_era(1);
+    homes.add(&group);
+    homes.observe_claim(&group, own.clone());
+    decide(&mut homes, &vms, 1_500);
+    assert_eq!(homes.held_count(&vms), 1);
+    homes.observe_era(2);
+    homes.observe_claim(&group, Claim { version: 11, ..own.clone() });
+    assert_eq!(homes.held_count(&vms), 0);
+    let mut out = Vec::new();
+    homes.confirmed(&vms, at(1_600), &mut out);
+    assert_eq!(out, []);
+    assert_eq!(claims(&decide(&mut homes, &vms, 1_600)), [(order[0].clone(), 11, false)]);
+    // Even the first claim that it knows of may not be the first one.
+    homes.observe_claim(&group, Claim { version: 12, era: 2, ..own });
+    let became = decide(&mut homes, &vms, 1_700).into_iter().find_map(|action| match action {
+        HomeAction::BecameHome { exclusive_from, takeover, .. } => Some((exclusive_from, takeover)),
+        _ => None,
+    });
+    assert_eq!(became, Some((at(1_700) + CFG.exclusivity_period, Takeover::Unclean)));
+}
--- a/crates/platform/src/row.rs
+++ b/crates/platform/src/row.rs
@@ -23,6 +23,8 @@
     pub revision: u64,
     /// The rows, deleted ones included if the caller asked for changes.
     pub rows: Vec<Row>,
+    /// Whether these are all rows, so that those that are missing do not exist.
+    pub complete: bool,
 }
 
 /// Precondition of a write: the version that a row must have.
--- a/crates/schedules/src/fault.rs
+++ b/crates/schedules/src/fault.rs
@@ -32,6 +32,9 @@
     StoreCut(usize),
     /// Writes to the platform's store take effect, but their replies are lost.
     RepliesLost,
+    /// The platform's store loses what is written meanwhile: at the end it comes back from a copy
+    /// that was taken at the start. Not among the random faults.
+    StoreLosesWrites,
     /// Replication lags by seconds on every replica.
     ReplicasLag,
 }
--- a/crates/schedules/src/mutation.rs
+++ b/crates/schedules/src/mutation.rs
@@ -9,6 +9,8 @@
     SkipFence,
     /// A write whose reply was lost is submitted again, although it may have run.
     RetryInDoubt,
+    /// Versions that the store gives out again are not told from the earlier ones.
+    KeepEra,
     /// Reads run at a random member, whether or not it has the caller's writes.
     IgnoreWritePositions,
 }
--- a/crates/schedules/src/simulation.rs
+++ b/crates/schedules/src/simulation.rs
@@ -2,6 +2,7 @@
 
 use base::{
     CallerId, FastMap, FastSet, Position, Rank, RequestId, Span, StatementKind, Term, Time,
+    store_version,
 };
 use home::{Action, Commit, ConnectionState, Event, Finished, ProbeReply, RunResult, Submission};
 use leadership::{FenceReply, LeadershipRecord};
@@ -93,6 +94,8 @@
     Replicate,
     NextRequest(usize),
     Takeover,
+    CopyStore,
+    RestoreStore,
     Home(usize, Box<Event>),
     Election(usize, leadership::Event),
     RequestArrives(RequestId),
@@ -144,7 +147,7 @@
         let mut members: Vec<FakeMember> = (0..MEMBERS).map(|_| FakeMember::new()).collect();
         members[0].promote(Time::default(), Term::new(1));
         let record = LeadershipRecord {
-            version: 1,
+            version: store_version::in_era(1, 1).expect("the first era"),
             term: Term::new(1),
             primary: Some(member_id(0)),
             attempt: String::new(),
@@ -158,7 +161,7 @@
             next_request: 0,
             members,
             daemons: (0..DAEMONS).map(|number| FakeDaemon::new(number, CALLERS - 1)).collect(),
-            store: FakeStore { record, writes: 0 },
+            store: FakeStore::new(record),
             requests: FastMap::default(),
             write_positions: vec![Position::default(); CALLERS],
             executed_writes: FastSet::default(),
@@ -218,6 +221,12 @@
         self.schedule(Span::ZERO, SimEvent::Home(0, Box::new(became_home)));
         let takeover = self.takeover;
         self.schedule_at(takeover, SimEvent::Takeover);
+        for fault in self.faults.clone() {
+            if fault.kind == FaultKind::StoreLosesWrites {
+                self.schedule_at(fault.from, SimEvent::CopyStore);
+                self.schedule_at(fault.until(), SimEvent::RestoreStore);
+            }
+        }
     }
 
     fn schedule(&mut self, after: Span, sim_event: SimEvent) {
@@ -303,6 +312,10 @@
                 self.feed_home(1, Event::BecameHome { exclusive_from });
                 self.feed_election(1, leadership::Event::OwnershipRequired);
             }
+            SimEvent::CopyStore => self.store.take_copy(),
+            SimEvent::RestoreStore => {
+                self.store.restore(self.mutation == Mutation::KeepEra);
+            }
             SimEvent::Home(daemon, event) => self.feed_home(daemon, *event),
             SimEvent::Election(daemon, event) => self.feed_election(daemon, event),
             SimEvent::RequestArrives(req) => self.request_arrives(req),
--- a/crates/schedules/tests/invariants.rs
+++ b/crates/schedules/tests/invariants.rs
@@ -1,6 +1,8 @@
 //! Invariants of the home and the election under random schedules of faults.
 
 use base::{Span, Time};
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha12Rng;
 use schedules::{Fault, FaultKind, Mutation, Simulation, Violation};
 
 /// Runs the schedules of `seeds` and returns the violations of each seed that has any.
@@ -78,3 +80,30 @@
     let found = (0..60).flat_map(|seed| run_with_partitioned_homes(seed, Mutation::SkipFence));
     assert!(found.into_iter().any(|it| it != Violation::NoProgress));
 }
+
+/// Runs a random fault and a random takeover, and a loss of the store's writes around them.
+fn run_with_lost_writes(seed: u64, mutation: Mutation) -> Vec<Violation> {
+    let mut rng = ChaCha12Rng::seed_from_u64(seed);
+    let lost = Fault {
+        kind: FaultKind::StoreLosesWrites,
+        from: Time::from_micros(rng.random_range(1_000_000..4_000_000)),
+        duration: Span::from_micros(rng.random_range(500_000..5_000_000)),
+    };
+    let takeover = Time::from_micros(rng.random_range(1_500_000..6_000_000));
+    let faults = vec![Fault::random(&mut rng), lost];
+    let outcome = Simulation::with_faults(seed, faults, takeover, mutation).run();
+    outcome.oracle.violations().to_vec()
+}
+
+#[test]
+fn invariants_hold_when_the_store_loses_writes() {
+    for seed in 30_000..30_600 {
+        assert_eq!(run_with_lost_writes(seed, Mutation::None), vec![], "seed {seed}");
+    }
+}
+
+#[test]
+fn oracle_detects_versions_that_are_given_out_again() {
+    let found = (30_000..30_600).flat_map(|seed| run_with_lost_writes(seed, Mutation::KeepEra));
+    assert!(found.count() > 0);
+}
--- a/crates/standins/src/store/service.rs
+++ b/crates/standins/src/store/service.rs
@@ -109,6 +109,8 @@
         Router::new()
             .route("/faults", get(faults).put(put_faults))
             .route("/counts", get(counts))
+            .route("/copy", put(put_copy))
+            .route("/restore", put(put_restore))
             .merge(faulty)
             .with_state(self)
     }
@@ -236,6 +238,16 @@
     StatusCode::NO_CONTENT
 }
 
+async fn put_copy(State(store): State<Store>) -> StatusCode {
+    store.take_copy();
+    StatusCode::NO_CONTENT
+}
+
+async fn put_restore(State(store): State<Store>) -> StatusCode {
+    store.restore();
+    StatusCode::NO_CONTENT
+}
+
 async fn counts(State(store): State<Store>) -> Json<Counts> {
     Json(store.state().counts)
 }
