--- a/crates/ctl/src/put.rs
+++ b/crates/ctl/src/put.rs
@@ -1,5 +1,6 @@
-use std::time::{SystemTime, UNIX_EPOCH};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
+use base::store_version;
 use platform::{Condition, PlatformError, TablePointer, TableVersion, Write};
 use snafu::ResultExt;
 use table::{Table, merge};
@@ -11,6 +12,8 @@
 
 const MAX_HISTORY_VERSIONS: usize = 50;
 const MAX_ATTEMPTS: u32 = 20;
+/// Time between two reads of a table that the daemons have yet to write again.
+const RETRY_DELAY: Duration = Duration::from_millis(500);
 
 /// Edit of the table, to be merged with concurrent edits and applied.
 #[derive(Debug)]
@@ -41,6 +44,7 @@
     /// is lost, the pointer is read back: the write succeeded if the pointer or its history
     /// names the object of this attempt.
     pub async fn run(&self) -> Result<PutOutcome, CtlError> {
+        self.wait_until_current().await?;
         let (_, base) = self.tables.table(Some(self.from)).await?;
         let mut last = None;
         for attempt in 0..MAX_ATTEMPTS {
@@ -53,6 +57,21 @@
         Err(last.unwrap_or(lost).into())
     }
 
+    /// Waits until the table in the store is known to be the newest one. After the store has come
+    /// back from an older copy, the daemons write again what it has lost within a few seconds; an
+    /// edit made before would get the version of a lost one, and not be applied.
+    async fn wait_until_current(&self) -> Result<(), CtlError> {
+        for _ in 0..MAX_ATTEMPTS {
+            let (row_version, pointer) = self.tables.pointer().await?;
+            if pointer.is_current(store_version::era(row_version)) {
+                return Ok(());
+            }
+            tokio::time::sleep(RETRY_DELAY).await;
+        }
+        let message = "the store has lost writes, and no daemon has written the table again";
+        Err(PlatformError::Unavailable { message: message.to_owned() }.into())
+    }
+
     async fn attempt(
         &self,
         base: &Table,
@@ -65,7 +84,11 @@
         let version = pointer.version + 1;
         let object = format!("tables-{version}-{}-{attempt}", unique_suffix());
         self.tables.client.put_object(&object, &merged.to_csv()).await?;
-        let next = next_pointer(&pointer, version, &object);
+        let era = store_version::era(row_version);
+        if !pointer.is_current(era) {
+            return Ok(Err(PlatformError::Conflict));
+        }
+        let next = next_pointer(&pointer, version, &object, era);
         let outcome = PutOutcome { version, merged: pointer.version != self.from };
         match self.write(row_version, &next).await {
             Ok(()) => Ok(Ok(outcome)),
@@ -87,11 +110,11 @@
     }
 }
 
-fn next_pointer(pointer: &TablePointer, version: u64, object: &str) -> TablePointer {
+fn next_pointer(pointer: &TablePointer, version: u64, object: &str, era: u64) -> TablePointer {
     let old = TableVersion { version: pointer.version, object: pointer.object.clone() };
     let mut history = vec![old];
     history.extend(pointer.history.iter().take(MAX_HISTORY_VERSIONS - 1).cloned());
-    TablePointer { version, object: object.to_owned(), history }
+    TablePointer { version, object: object.to_owned(), history, era }
 }
 
 /// Returns a suffix that makes object names unique: the time and the process ID.
--- a/crates/daemon/src/control/control_event.rs
+++ b/crates/daemon/src/control/control_event.rs
@@ -11,6 +11,8 @@
         asked_at: Time,
         /// Rows that have changed since the last poll, or all rows.
         rows: Rows,
+        /// Whether the operators' table is known to be the newest one.
+        is_table_current: bool,
     },
     /// A group's primary record and claim were read, in this order.
     LeadershipRead {
--- a/crates/daemon/src/control/platform_writes.rs
+++ b/crates/daemon/src/control/platform_writes.rs
@@ -1,7 +1,11 @@
-use base::{GroupId, VmId};
+use std::iter;
+
+use base::{GroupId, VmId, store_version};
 use leadership::{Event, LeadershipRecord};
 use membership::HomeAction;
-use platform::{Client, Condition, PlatformError, PrimaryRecord, Row, Write};
+use platform::{
+    Client, Condition, PlatformError, PrimaryRecord, Row, TablePointer, TableVersion, Write,
+};
 use tokio::sync::mpsc;
 
 use crate::control::{control_event::ControlEvent, records::HomeRecord};
@@ -61,6 +65,44 @@
     }
 }
 
+/// Writes the operators' table again in the present era of the store, unless another daemon or an
+/// operator has done so.
+pub(crate) async fn write_table_again(client: Client, version: u64, text: String) {
+    if let Err(error) = try_write_table_again(&client, version, &text).await {
+        logs::warn(&format!("writing the table again failed: {error}"));
+    }
+}
+
+async fn try_write_table_again(
+    client: &Client,
+    version: u64,
+    text: &str,
+) -> Result<(), PlatformError> {
+    let Some(row) = client.row(TablePointer::KEY).await? else { return Ok(()) };
+    let stored: TablePointer = row.record()?;
+    let era = store_version::era(row.version);
+    if stored.is_current(era) {
+        return Ok(());
+    }
+    let pointer = if version > stored.version {
+        let object = format!("tables-{version}-era-{era}");
+        client.put_object(&object, text).await?;
+        let previous = TableVersion { version: stored.version, object: stored.object };
+        let history = iter::once(previous).chain(stored.history).collect();
+        TablePointer { version, object, history, era }
+    } else {
+        TablePointer { era, ..stored }
+    };
+    logs::event(
+        "writing table again",
+        &serde_json::json!({"era": era, "version": pointer.version, "own": version}),
+    );
+    match write(client, TablePointer::KEY, row.version, &pointer).await {
+        Ok(_) | Err(PlatformError::Conflict) => Ok(()),
+        Err(error) => Err(error),
+    }
+}
+
 async fn read_record_and_claim(
     client: &Client,
     group: &GroupId,
--- a/crates/daemon/src/control/task.rs
+++ b/crates/daemon/src/control/task.rs
@@ -40,6 +40,12 @@
 /// See [`HomesConfig::startup_delay`].
 const STARTUP_DELAY: Span = Span::from_millis(300);
 
+/// How long after the store has come back from an older copy the daemons wait before they write the
+/// table again: by then they have the newest one from each other.
+const TABLE_REWRITE_DELAY: Span = Span::from_millis(2_000);
+/// Time between the turns of two daemons to do so, and between two attempts of one.
+const TABLE_REWRITE_INTERVAL: Span = Span::from_millis(1_000);
+
 /// Parameters of [`Control::run`].
 pub(crate) struct ControlSetup {
     pub(crate) settings: Settings,
@@ -66,6 +72,7 @@
     rows: FastMap<String, Row>,
     /// Newest era of the store, and when this daemon noticed it.
     era: (u64, Time),
+    last_table_rewrite: Option<Time>,
     poll_now: Arc<Notify>,
     orders: orders_mpsc::UnboundedSender<Order>,
     held_claims: Arc<atomic::AtomicUsize>,
@@ -112,6 +119,7 @@
             table: None,
             rows: FastMap::default(),
             era: (0, Time::default()),
+            last_table_rewrite: None,
             poll_now,
             orders,
             held_claims,
@@ -130,9 +138,13 @@
 
     fn handle_event(&mut self, event: ControlEvent) {
         match event {
-            ControlEvent::Polled { asked_at, rows } => {
+            ControlEvent::Polled { asked_at, rows, is_table_current } => {
                 self.observe_era(store_version::era(rows.revision));
-                self.send(Order::TableConfirmed { asked_at });
+                if is_table_current {
+                    self.send(Order::TableConfirmed { asked_at });
+                } else {
+                    self.write_table_again();
+                }
                 let lost = if rows.complete { self.lost_rows(&rows) } else { Vec::new() };
                 self.merge_rows(rows.rows.into_iter().chain(lost));
                 let mut actions = Vec::new();
@@ -176,6 +188,23 @@
         lost.map(|row| Row { version, value: Value::Null, key: row.key.clone() }).collect()
     }
 
+    /// Writes the operators' table again if the store may have lost the newest one. The daemons
+    /// take turns in the order of their names.
+    fn write_table_again(&mut self) {
+        let Some((version, text)) = self.table.clone() else { return };
+        let now = self.clock.now();
+        let own = &self.vms.own().id;
+        let preceding = self.vms.candidates(now).filter(|vm| *vm < own).count() as u64;
+        let turn = Span::from_micros(TABLE_REWRITE_INTERVAL.as_micros() * preceding);
+        let recently =
+            self.last_table_rewrite.is_some_and(|at| now.since(at) < TABLE_REWRITE_INTERVAL);
+        if now.since(self.era.1) < TABLE_REWRITE_DELAY + turn || recently {
+            return;
+        }
+        self.last_table_rewrite = Some(now);
+        tokio::spawn(platform_writes::write_table_again(self.client.clone(), version, text));
+    }
+
     /// Applies the rows that are newer than the cached ones.
     ///
     /// Claims come first: a daemon that has lost its claim must stop being the home before
--- a/crates/daemon/src/control/watch.rs
+++ b/crates/daemon/src/control/watch.rs
@@ -1,5 +1,6 @@
 use std::{sync::Arc, time::Duration};
 
+use base::store_version;
 use platform::{Client, PlatformError, Row, TablePointer};
 use rand::{Rng, SeedableRng};
 use tokio::sync::{Notify, mpsc};
@@ -20,6 +21,8 @@
     rng: rand_chacha::ChaCha12Rng,
     revision: u64,
     table_version: u64,
+    /// The pointer to the operators' table as last read.
+    pointer: Option<TablePointer>,
 }
 
 impl Watch {
@@ -33,7 +36,17 @@
         tx: mpsc::Sender<ControlEvent>,
     ) -> Watch {
         let rng = rand_chacha::ChaCha12Rng::from_os_rng();
-        Watch { client, clock, poll_interval, poll_now, tx, rng, revision: 0, table_version: 0 }
+        Watch {
+            client,
+            clock,
+            poll_interval,
+            poll_now,
+            tx,
+            rng,
+            revision: 0,
+            table_version: 0,
+            pointer: None,
+        }
     }
 
     /// Polls until the future is dropped. While the platform fails, the interval doubles up to
@@ -66,7 +79,9 @@
             self.fetch_table(row).await?;
         }
         self.revision = changed.revision;
-        self.send(ControlEvent::Polled { asked_at, rows: changed }).await;
+        let era = store_version::era(self.revision);
+        let is_table_current = self.pointer.as_ref().is_some_and(|it| it.is_current(era));
+        self.send(ControlEvent::Polled { asked_at, rows: changed, is_table_current }).await;
         if with_vms {
             let vms = self.client.vms().await?;
             self.send(ControlEvent::Vms(vms)).await;
@@ -76,6 +91,7 @@
 
     async fn fetch_table(&mut self, row: &Row) -> Result<(), PlatformError> {
         let pointer: TablePointer = row.record()?;
+        self.pointer = Some(pointer.clone());
         if pointer.version <= self.table_version {
             return Ok(());
         }
--- a/crates/e2e/src/platform.rs
+++ b/crates/e2e/src/platform.rs
@@ -26,6 +26,21 @@
         req.send().await.expect("the platform answers");
     }
 
+    /// Copies the store's contents.
+    pub async fn copy(&self) {
+        self.put("copy").await;
+    }
+
+    /// Replaces the store's contents with the last copy, so that all later writes are lost.
+    pub async fn restore(&self) {
+        self.put("restore").await;
+    }
+
+    async fn put(&self, path: &str) {
+        let req = self.http.put(format!("{}/{path}", self.base_url));
+        req.send().await.expect("the platform answers");
+    }
+
     /// Returns the value of an existing row.
     pub async fn row(&self, key: &str) -> Value {
         self.fetch_row(key).await.value
--- a/crates/e2e/tests/table.rs
+++ b/crates/e2e/tests/table.rs
@@ -128,3 +128,24 @@
     assert!(usage.contains("expected submission, lookup or report"), "{usage}");
     assert!(ctl(&env, &["fly"]).await.expect_err("unknown").contains("\"fly\""));
 }
+
+/// The operators were told that both edits are in force.
+#[tokio::test]
+async fn an_accepted_table_stays_in_force_when_the_store_loses_it() {
+    let env = TestEnv::start(&Options::default());
+    let platform = env.platform();
+    platform.copy().await;
+    let lost = write_edited_table(&env, "lost", |text| weight(&text, ORDERS, 7)).await;
+    ctl(&env, &["table", "put", &lost, "--from", "1"]).await.expect("accepted");
+    platform.restore().await;
+    // Without the lost version the edit would get its number, and no daemon would apply it.
+    let next = write_edited_table(&env, "next", |text| weight(&text, LOOKUPS, 9)).await;
+    let output = ctl(&env, &["table", "put", &next, "--from", "1"]).await.expect("accepted");
+    assert!(output.starts_with("accepted as version 3, merged with other edits"), "{output}");
+    assert!(!output.contains("not"), "{output}");
+    let table = ctl(&env, &["table", "get"]).await.expect("a table");
+    assert!(
+        table.contains(&format!("{ORDERS}7,")) && table.contains(&format!("{LOOKUPS}9,")),
+        "{table}"
+    );
+}
--- a/crates/platform/src/table_pointer.rs
+++ b/crates/platform/src/table_pointer.rs
@@ -1,3 +1,6 @@
+/// Era of a store that has never come back from an older copy.
+const FIRST_ERA: u64 = 1;
+
 /// Reference to the version of the operators' table in force, stored in the row `table`.
 #[derive(Clone, Debug, Eq, PartialEq)]
 #[derive(serde::Deserialize, serde::Serialize)]
@@ -9,6 +12,9 @@
     /// Earlier versions that are still stored, newest first.
     #[serde(default)]
     pub history: Vec<TableVersion>,
+    /// Era of the store in which it was written.
+    #[serde(default)]
+    pub era: u64,
 }
 
 /// An earlier version of the table.
@@ -24,4 +30,10 @@
 impl TablePointer {
     /// Key of the row that holds the pointer.
     pub const KEY: &str = "table";
+
+    /// Whether it is known to be the newest one in this era of the store. In a later era than its
+    /// own, the store may have lost a newer one until the daemons have written it again.
+    pub fn is_current(&self, era: u64) -> bool {
+        self.era.max(FIRST_ERA) >= era
+    }
 }
