Soak: wait for a definite answer about a database within the users' limit; tests: choose ports and start processes one at a time

Traced: the store had lost writes 0.6 to 1.9 s before (era 4 at ...583.644, asked from ...584.612 to ...585.580), and until 2.3 s after that its answers confirm nothing, by design. The check asked once; it now asks until a definite answer comes, by the 12 s that the users allow, and a wrong definite answer is a violation at once, as before.

'Address already in use' in the daemon's tests (2 tests in one of 3 rapid repeats): a process between fork and exec holds copies of a port that another test has just chosen.

--- a/crates/entry/tests/support/daemon.rs
+++ b/crates/entry/tests/support/daemon.rs
@@ -4,6 +4,7 @@
     net::{IpAddr, SocketAddr, TcpListener, TcpStream, UdpSocket},
     path::PathBuf,
     process::{Child, Command, Stdio},
+    sync::{Mutex, MutexGuard, PoisonError},
     thread,
     time::{Duration, Instant},
 };
@@ -27,6 +28,7 @@
     /// Starts a daemon. `ip` must be in the loopback range and not used by another daemon.
     pub fn start(name: &str, ip: &str, cores: f64, platform: SocketAddr) -> Daemon {
         let ip: IpAddr = ip.parse().expect("test setup failed");
+        let _lock = lock_spawn();
         let [callers, readiness, peers] = free_addrs(ip);
         let peer_port = peers.port();
         let text = format!(
@@ -100,6 +102,7 @@
 
     fn signal(&self, signal: &str) {
         let pid = self.child.id().to_string();
+        let _lock = lock_spawn();
         let status = Command::new("kill").args([signal, &pid]).status();
         assert!(status.expect("test setup failed").success());
     }
@@ -119,6 +122,13 @@
     }
 }
 
+/// Excludes other threads that start processes. Between its start and its program, a process has
+/// copies of all open sockets: a port that another thread has just chosen and closed is still bound.
+fn lock_spawn() -> MutexGuard<'static, ()> {
+    static SPAWN: Mutex<()> = Mutex::new(());
+    SPAWN.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
 /// Sends bytes over a new connection and waits a moment for the daemon to answer or close it.
 pub fn send_bytes(addr: SocketAddr, bytes: &[u8]) {
     let mut stream = TcpStream::connect(addr).expect("the daemon accepts connections");
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -135,7 +135,7 @@
             history.borrow_mut().violations.push(format!("caller: {error}"));
         }
     }
-    check_configuration(&deployment, &addrs, &history).await;
+    check_configuration(&deployment, &addrs, &history, faults_ended + RECOVERY_TIMEOUT).await;
     let mut history = history.take();
     check::commits(&mut history, &deployment.commits().await?);
     history.violations.extend(deployment.fence_violations().await?);
@@ -283,15 +283,22 @@
     time::timeout(PROBE_TIMEOUT, probe).await.unwrap_or_else(|_| Err("none in time".to_owned()))
 }
 
-/// Checks that every daemon has applied the newest configuration.
+/// Checks that every daemon has applied the newest configuration. A daemon that cannot tell yet
+/// whether the database exists, as when the store has just lost writes, must be able to by
+/// `deadline`.
 async fn check_configuration(
     deployment: &Deployment,
     addrs: &[SocketAddr],
     history: &RefCell<History>,
+    deadline: Instant,
 ) {
     let (database, exists) = deployment.extra_database();
     for (daemon, addr) in addrs.iter().enumerate() {
-        let opened = LineConn::open(*addr, database).await;
+        let mut opened = LineConn::open(*addr, database).await;
+        while opened.as_ref().is_err_and(is_busy) && Instant::now() < deadline {
+            time::sleep(POLL_INTERVAL).await;
+            opened = LineConn::open(*addr, database).await;
+        }
         let as_expected = match &opened {
             Ok(_) => exists,
             Err(Some(answer)) => !exists && answer.starts_with("ERROR NODB"),
@@ -307,3 +314,7 @@
         }
     }
 }
+
+fn is_busy(answer: &Option<String>) -> bool {
+    answer.as_ref().is_some_and(|answer| answer.starts_with("ERROR BUSY"))
+}
