Confirm a configuration only once statements are run by it

Symptom: a write ran for a database that had been dropped over 3 s before, 11 ms after the daemon had stood still (CONFIG). Cause: the control thread has the newest configuration and other carriers' answers to extend the lease of the copies; the data thread, which runs statements, still has the older one in its queue. Fix: the data thread reports the version that it has in force; only then do answers of the store or of carriers count for it. Denials compared versions already. Ruled out: comparing versions when a statement is run, since it refuses statements at each change.

--- a/crates/entry/src/control/task.rs
+++ b/crates/entry/src/control/task.rs
@@ -72,6 +72,10 @@
     peers: Peers,
     coordinator: FailoverCoordinator,
     config: Option<Arc<Config>>,
+    /// Version of the configuration that is in force in the data thread; 0 if there is none.
+    applied_config: u64,
+    /// When the store was asked that has confirmed a configuration which is not yet in force there.
+    pending_confirmation: Option<Time>,
     members: FastMap<String, Member>,
     members_known: bool,
     pending_orders: PendingOrders,
@@ -217,6 +221,8 @@
             peers: Peers::default(),
             coordinator,
             config: None,
+            applied_config: 0,
+            pending_confirmation: None,
             members: FastMap::default(),
             members_known: false,
             pending_orders: PendingOrders::default(),
@@ -273,7 +279,7 @@
                 if let Some(copied) = rows::copied(table)
                     && self.coordination.is_settled(era, store_ms)
                 {
-                    self.copies.store_answered(copied, asked_at);
+                    self.confirm(copied, asked_at);
                 }
                 if table == STATE_TABLE {
                     self.update_followed_tables(clock::now());
@@ -296,6 +302,7 @@
             }
             Event::WriteFinished { what, result } => self.handle_write_result(what, result),
             Event::Heartbeat(heartbeat, from) => self.handle_heartbeat(&heartbeat, from),
+            Event::Data(Report::ConfigApplied { version }) => self.config_applied(version),
             Event::Data(Report::Applied { group, version }) => {
                 self.pending_orders.confirm(&group, version);
                 self.update_applied_version();
--- a/crates/entry/src/control/task/rows.rs
+++ b/crates/entry/src/control/task/rows.rs
@@ -66,10 +66,7 @@
             self.behind_since = None;
         }
         match table {
-            OPERATOR_TABLE => {
-                self.apply_config(&updates);
-                self.copies.rows_applied(Copied::Config, self.config_version());
-            }
+            OPERATOR_TABLE => self.apply_config(&updates),
             MEMBERS_TABLE => {
                 self.copies.rows_applied(Copied::Members, self.tables.newest(table));
                 self.members_known |= complete;
@@ -82,7 +79,28 @@
         }
     }
 
-    /// Version of the configuration in force; 0 if there is none.
+    /// Records that the store, asked at `asked_at`, has confirmed a copy. A configuration counts
+    /// only once the data thread runs statements by it.
+    pub(super) fn confirm(&mut self, copied: Copied, asked_at: Time) {
+        if copied == Copied::Config && self.applied_config < self.config_version() {
+            self.pending_confirmation = self.pending_confirmation.max(Some(asked_at));
+        } else {
+            self.copies.store_answered(copied, asked_at);
+        }
+    }
+
+    /// Handles that a configuration is in force in the data thread.
+    pub(super) fn config_applied(&mut self, version: u64) {
+        self.applied_config = version;
+        self.copies.rows_applied(Copied::Config, version);
+        if version == self.config_version()
+            && let Some(asked_at) = self.pending_confirmation.take()
+        {
+            self.copies.store_answered(Copied::Config, asked_at);
+        }
+    }
+
+    /// Version of the newest configuration that this daemon has received; 0 if there is none.
     pub(super) fn config_version(&self) -> u64 {
         self.config.as_ref().map_or(0, |config| config.version)
     }
--- a/crates/entry/src/data/task.rs
+++ b/crates/entry/src/data/task.rs
@@ -69,7 +69,12 @@
 
 fn apply_order(cx: &Rc<Context>, order: Order) {
     match order {
-        Order::Config(config) => *cx.config.borrow_mut() = Some(config),
+        Order::Config(config) => {
+            let version = config.version;
+            *cx.config.borrow_mut() = Some(config);
+            // Fails only during shutdown, when the control thread is gone.
+            let _ = cx.events.unbounded_send(Event::Data(Report::ConfigApplied { version }));
+        }
         Order::Members { group, members } => cx.group(&group).set_members(members),
         Order::Shares { group, shares } => cx.group(&group).set_shares(shares),
         Order::SetPrimary { group, lead, planned, version } => {
--- a/crates/entry/src/messages.rs
+++ b/crates/entry/src/messages.rs
@@ -46,6 +46,8 @@
 /// Message from the data thread to the control thread.
 #[derive(Debug)]
 pub(crate) enum Report {
+    /// The configuration of this version is in force in the data thread.
+    ConfigApplied { version: u64 },
     /// An [`Order::SetPrimary`] of this version has taken effect.
     Applied { group: String, version: u64 },
     /// Health of a group's primary as observed by this daemon.
