Do not confirm a primary in doubt by its members once a promotion was requested

Symptom: none seen; found when the change was read once more. A holder that had asked for a promotion fell back to asking the members when a carrier was listed meanwhile; they may still show the earlier primary, and the platform promotes the other a moment later: writes at a replaced primary. Cause: the shortcut for groups in doubt looked at the members only, not at what was requested. Fix: after a request only its outcome ends the failover, as for every other one. Test: no_primary_is_confirmed_by_its_members_once_another_may_have_been_promoted, failed before.

--- a/crates/succession/src/failover.rs
+++ b/crates/succession/src/failover.rs
@@ -33,6 +33,9 @@
     last_action: Option<Time>,
     /// Since when the primary has not been among the members.
     missing_since: Option<Time>,
+    /// Whether the platform has been asked to promote a member since the failover started. It may
+    /// do so after the members have shown another primary.
+    promotion_requested: bool,
 }
 
 #[derive(Debug, Default)]
@@ -158,11 +161,13 @@
     pub fn tick(&mut self, now: Time, view: &FailoverView<'_>) -> Option<Action> {
         if view.is_outdated {
             self.phase = Phase::Idle;
+            self.promotion_requested = false;
             return start_in_doubt(view);
         }
         let Some(record) = view.record else { return first_record(view.members) };
         if !record.changing {
             self.phase = Phase::Idle;
+            self.promotion_requested = false;
             return self.start_if_needed(now, record, view);
         }
         if !view.may_promote || self.acted_recently(now) {
@@ -170,7 +175,7 @@
         }
         let action = if view.primary_unused {
             self.step(now, record, view)
-        } else if record.in_doubt {
+        } else if record.in_doubt && !self.promotion_requested {
             self.identify_primary(now, view)
         } else {
             None
@@ -178,6 +183,7 @@
         if action.is_some() {
             self.last_action = Some(now);
         }
+        self.promotion_requested |= matches!(action, Some(Action::Promote { .. }));
         action
     }
 
@@ -250,6 +256,7 @@
             Phase::QueryingStatus { since, step_down_sent } => {
                 let since = *since;
                 if record.in_doubt
+                    && !self.promotion_requested
                     && let Some(primary) = only_primary(view.members, since)
                 {
                     return Some(confirmation(primary));
--- a/crates/succession/tests/changes.rs
+++ b/crates/succession/tests/changes.rs
@@ -182,6 +182,27 @@
     assert_eq!(written_record(case.tick()), Some(record("r2", false, false)));
 }
 
+/// The call takes effect only after the members have answered, and a carrier that has just been
+/// listed has not applied the record yet.
+#[test]
+fn no_primary_is_confirmed_by_its_members_once_another_may_have_been_promoted() {
+    let mut case = Case { record: Some(in_doubt("p")), ..Case::new() };
+    case.tick();
+    case.status("p", true, 1, 50);
+    case.status("r1", false, 1, 41);
+    case.now = case.now + Span::from_millis(800);
+    assert_eq!(case.tick(), Some(Action::Promote { member: "p".to_owned() }));
+    for primary_unused in [false, true] {
+        case.primary_unused = primary_unused;
+        for _ in 0..50 {
+            assert_eq!(written_record(case.tick()), None);
+            case.status("p", true, 1, 50);
+            case.status("r1", false, 1, 41);
+            case.status("r2", false, 1, 42);
+        }
+    }
+}
+
 /// The member that is primary of term 3 does not answer, or is not listed.
 #[test]
 fn a_primary_of_an_older_term_is_not_confirmed_while_a_carrier_may_use_another() {
