--- a/review/harness/cases/mod.rs
+++ b/review/harness/cases/mod.rs
@@ -15,6 +15,7 @@
     world::World,
 };
 
+pub mod foreign_entry;
 pub mod late_call;
 pub mod route_back;
 pub mod route_change;
--- a/review/harness/cases/sync_replica.rs
+++ b/review/harness/cases/sync_replica.rs
@@ -11,8 +11,10 @@
 };
 
 const GROUP: &str = "base-a";
-/// How long the primary is dark and the path is lost.
+/// How long the primary is dark.
 const DARK: Duration = Duration::from_millis(7_000);
+/// How long the up-to-date replica has no path to one daemon.
+const CUT: Duration = Duration::from_millis(5_000);
 
 pub fn run(record: &Record, trouble: bool) -> Outcome {
     let mut cluster = Cluster::start(record, &[GROUP])?;
@@ -36,8 +38,10 @@
     cluster.world.darken(GROUP, &ids[..1], DARK);
     thread::sleep(Duration::from_secs(4));
     cluster.world.change(GROUP, &ids[2], |member| member.deaf = false);
-    thread::sleep(DARK - Duration::from_secs(4));
+    thread::sleep(CUT - Duration::from_secs(4));
+    record.line(&format!("{} has the path to {daemon}", ids[1]));
     cluster.world.change(GROUP, &ids[1], |member| member.cut_from.remove(&daemon));
+    thread::sleep(DARK - CUT);
     wait_promoted(&cluster.world, GROUP, 1)?;
     thread::sleep(Duration::from_secs(2));
     let acknowledged = writers.stop();
--- a/review/harness/cluster.rs
+++ b/review/harness/cluster.rs
@@ -1,6 +1,7 @@
 //! The store's stand-in, the operator, the members' entries and the daemons.
 
 use std::{
+    collections::HashMap,
     env, fs,
     io::{BufRead, BufReader},
     net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream, UdpSocket},
@@ -165,8 +166,7 @@
     fn write_entries(&self) {
         let (world, store) = (self.world.clone(), self.store);
         thread::spawn(move || {
-            let mut written: std::collections::HashMap<String, (Instant, bool)> =
-                Default::default();
+            let mut written: HashMap<String, (Instant, bool, &str)> = HashMap::new();
             loop {
                 let mut calls = Vec::new();
                 for group in &mut world.lock().groups {
@@ -174,42 +174,39 @@
                     for member in &mut group.members {
                         let last = written.get(&member.id).copied();
                         if member.dark {
-                            if last.is_some_and(|(at, _)| at.elapsed() >= HEARTBEAT * 3) {
+                            if last.is_some_and(|(at, _, _)| at.elapsed() >= HEARTBEAT * 3) {
                                 written.remove(&member.id);
-                                calls.push((member.id.clone(), None));
+                                calls.push((name.clone(), member.id.clone(), None));
                             }
                             continue;
                         }
-                        let due = last.is_none_or(|(at, primary)| {
-                            at.elapsed() >= HEARTBEAT || primary != member.primary
+                        let due = last.is_none_or(|(at, primary, state)| {
+                            let changed = primary != member.primary || state != member.state;
+                            changed || at.elapsed() >= HEARTBEAT
                         });
                         if !due {
                             continue;
                         }
                         member.sequence += 1;
-                        let role = if member.primary { "primary" } else { "replica" };
-                        let entry = format!(
-                            "{{\"service\":\"{name}\",\"addr\":\"{}\",\"zone\":\"a\",\"version\":\"v1\",\
-                             \"capacity\":5,\"state\":\"ready\",\"warmup_left_ms\":0,\"db_role\":\"{role}\",\
-                             \"sequence\":{},\"born\":{}}}",
-                            member.addr, member.sequence, member.born
+                        let entry = entry(&name, member, member.state, member.sequence);
+                        written.insert(
+                            member.id.clone(),
+                            (Instant::now(), member.primary, member.state),
                         );
-                        written.insert(member.id.clone(), (Instant::now(), member.primary));
-                        calls.push((member.id.clone(), Some(entry)));
+                        calls.push((name.clone(), member.id.clone(), Some((entry, member.state))));
                     }
                 }
-                for (id, entry) in calls {
-                    let place = format!("\"table\":\"servers\",\"part\":\"\",\"key\":\"{id}\"");
-                    let body = match entry {
-                        Some(entry) => format!(
-                            "{{\"expect\":[],\"set_keys\":[{{{place},\"value\":\"{}\"}}],\"delete_keys\":[]}}",
-                            http::base64(entry.as_bytes())
-                        ),
-                        None => format!(
-                            "{{\"expect\":[],\"set_keys\":[],\"delete_keys\":[{{{place}}}]}}"
-                        ),
-                    };
-                    let _ = http::call(store, "POST", "/rows-tx", &body);
+                for (group, id, entry) in calls {
+                    let (value, state) = entry.unzip();
+                    let done = put_entry(store, &id, value.as_deref()).is_ok();
+                    let Some(state) = state.filter(|_| done) else { continue };
+                    world.change(&group, &id, |member| {
+                        if member.acknowledged.is_none_or(|(known, _)| known != state) {
+                            let at = world.record.now();
+                            member.acknowledged = Some((state, at));
+                            world.record.line(&format!("STORE acknowledges that {id} is {state}"));
+                        }
+                    });
                 }
                 thread::sleep(Duration::from_millis(20));
             }
@@ -298,6 +295,33 @@
     Ok(())
 }
 
+/// A member's entry.
+pub fn entry(group: &str, member: &Member, state: &str, sequence: u64) -> String {
+    let role = if member.primary { "primary" } else { "replica" };
+    format!(
+        "{{\"service\":\"{group}\",\"addr\":\"{}\",\"zone\":\"a\",\"version\":\"v1\",\
+         \"capacity\":5,\"state\":\"{state}\",\"warmup_left_ms\":0,\"db_role\":\"{role}\",\
+         \"sequence\":{sequence},\"born\":{}}}",
+        member.addr, member.born
+    )
+}
+
+/// Writes a member's entry, or removes it.
+pub fn put_entry(store: SocketAddr, id: &str, value: Option<&str>) -> Result<(), String> {
+    let place = format!("\"table\":\"servers\",\"part\":\"\",\"key\":\"{id}\"");
+    let body = match value {
+        Some(value) => format!(
+            "{{\"expect\":[],\"set_keys\":[{{{place},\"value\":\"{}\"}}],\"delete_keys\":[]}}",
+            http::base64(value.as_bytes())
+        ),
+        None => format!("{{\"expect\":[],\"set_keys\":[],\"delete_keys\":[{{{place}}}]}}"),
+    };
+    match http::call(store, "POST", "/rows-tx", &body)? {
+        (200, _) => Ok(()),
+        (status, body) => Err(format!("the store answered {status} {body}")),
+    }
+}
+
 fn is_ready(daemon: &Daemon) -> bool {
     TcpStream::connect(daemon.readiness).is_ok()
         && http::call(daemon.readiness, "GET", "/readyz", "").is_ok_and(|(status, _)| status == 200)
--- a/review/harness/main.rs
+++ b/review/harness/main.rs
@@ -37,6 +37,7 @@
     let outcome = match case.as_str() {
         "route-back" => cases::route_back::run(&record, trouble),
         "route-change" => cases::route_change::run(&record, trouble),
+        "foreign-entry" => cases::foreign_entry::run(&record, trouble),
         "late-call" => cases::late_call::run(&record, trouble),
         "stale-holder" => cases::stale_holder::run(&record, trouble),
         "sync-replica" => cases::sync_replica::run(&record, trouble),
--- a/review/harness/member.rs
+++ b/review/harness/member.rs
@@ -227,6 +227,7 @@
             let mut state = self.world.lock();
             state.reads.push(Read {
                 group: self.group.clone(),
+                member: self.id.clone(),
                 request: request.to_owned(),
                 at: self.world.record.now(),
             });
--- a/review/harness/world.rs
+++ b/review/harness/world.rs
@@ -37,6 +37,9 @@
     pub isolated: bool,
     /// Daemons that it is partitioned from.
     pub cut_from: HashSet<String>,
+    /// State that it reports, and since when the store has acknowledged the present one.
+    pub state: &'static str,
+    pub acknowledged: Option<(&'static str, u64)>,
     reaches_new_since: Option<Instant>,
     pub born: u64,
     pub sequence: u64,
@@ -84,6 +87,7 @@
 #[derive(Clone)]
 pub struct Read {
     pub group: String,
+    pub member: String,
     pub request: String,
     pub at: u64,
 }
@@ -293,6 +297,8 @@
             dark: false,
             isolated: false,
             cut_from: HashSet::new(),
+            state: "ready",
+            acknowledged: None,
             reaches_new_since: None,
             born: unix_ms(),
             sequence: 0,
