--- a/review/harness/main.rs
+++ b/review/harness/main.rs
@@ -13,7 +13,7 @@
 mod record;
 mod world;
 
-use std::{env, path::PathBuf, process, thread, time::Duration};
+use std::{env, panic, path::PathBuf, process, thread, time::Duration};
 
 /// Longest run of a case. The processes are ended then, too.
 const TIME_LIMIT: Duration = Duration::from_secs(110);
@@ -34,15 +34,9 @@
         eprintln!("time limit");
         cluster::end(2);
     });
-    let outcome = match case.as_str() {
-        "route-back" => cases::route_back::run(&record, trouble),
-        "route-change" => cases::route_change::run(&record, trouble),
-        "foreign-entry" => cases::foreign_entry::run(&record, trouble),
-        "late-call" => cases::late_call::run(&record, trouble),
-        "stale-holder" => cases::stale_holder::run(&record, trouble),
-        "sync-replica" => cases::sync_replica::run(&record, trouble),
-        _ => Err(format!("unknown case {case}")),
-    };
+    let played = panic::catch_unwind(|| play(&case, &record, trouble));
+    let outcome = played.unwrap_or_else(|_| Err("the harness failed".to_owned()));
+
     match outcome {
         Ok(violations) if violations.is_empty() => {
             record.line("RESULT the rule held");
@@ -63,3 +57,15 @@
         }
     }
 }
+
+fn play(case: &str, record: &record::Record, trouble: bool) -> cases::Outcome {
+    match case {
+        "foreign-entry" => cases::foreign_entry::run(record, trouble),
+        "late-call" => cases::late_call::run(record, trouble),
+        "route-back" => cases::route_back::run(record, trouble),
+        "route-change" => cases::route_change::run(record, trouble),
+        "stale-holder" => cases::stale_holder::run(record, trouble),
+        "sync-replica" => cases::sync_replica::run(record, trouble),
+        _ => Err(format!("unknown case {case}")),
+    }
+}
