Judge a transaction by the group and the route that it began in

Cause: commit_open looked up the group by the route as of the COMMIT, and compared the lease's epoch with that group's. Epochs count from 0 in each group, so they are mostly equal.

Fix: a lease answers for its own group (ConnLease::may_use_primary); the epoch is private to it and the group's check is not reachable from sessions. An open transaction holds the route it began by, as a change of a route applies from the next transaction onward. All checks of single statements, first statements and COMMIT go by the lease. Relayed transactions are committed by the carrier's own session, so by the same code.

--- a/crates/entry/src/data/conn_lease.rs
+++ b/crates/entry/src/data/conn_lease.rs
@@ -22,7 +22,7 @@
     /// Number of the connection in the group's pool; 0 once it is closed.
     number: u64,
     /// The group's epoch when the connection was assigned.
-    pub(crate) epoch: u64,
+    epoch: u64,
     /// Whether this counts as a user of the primary, which a planned failover waits for.
     counts: bool,
     /// Whether a statement occupies one of the member's slots.
@@ -62,6 +62,18 @@
         self.counts
     }
 
+    /// Name of the member's group.
+    pub(crate) fn group(&self) -> &str {
+        &self.group.name
+    }
+
+    /// Whether the primary at the time of the assignment is still the present one, and this
+    /// daemon's grant to use it is valid. The group is the one whose pool the connection is from,
+    /// whatever the database's route says by now.
+    pub(crate) fn may_use_primary(&self) -> bool {
+        self.group.may_use_primary(self.epoch)
+    }
+
     /// The connection; an error if it has been closed.
     pub(crate) fn conn(&mut self) -> Result<&mut MemberConn, MemberError> {
         self.conn.as_deref_mut().ok_or(MemberError::Silent)
@@ -87,7 +99,7 @@
         let now = clock::now();
         let sent_at = self.sent_at;
         let usable_since =
-            (self.counts && self.group.may_use_primary(self.epoch)).then_some(sent_at);
+            (self.counts && self.may_use_primary()).then_some(sent_at);
         let service = answer.map(|_| now.since(sent_at));
         let running = std::mem::replace(&mut self.running, false);
         self.group.with_pool(|pool| {
--- a/crates/entry/src/data/group.rs
+++ b/crates/entry/src/data/group.rs
@@ -169,8 +169,9 @@
         self.state.borrow().pool.position_covering(clock::now(), age)
     }
 
-    /// Whether the primary of `epoch` is still current and this daemon's grant is valid.
-    pub(crate) fn may_use_primary(&self, epoch: u64) -> bool {
+    /// Whether the primary of `epoch` is still current and this daemon's grant is valid. Epochs of
+    /// different groups cannot be compared, so only a connection's own lease asks.
+    pub(super) fn may_use_primary(&self, epoch: u64) -> bool {
         self.epoch.get() == epoch && clock::now() < self.cx.shared.grant_expiry()
     }
 
--- a/crates/entry/src/data/relay.rs
+++ b/crates/entry/src/data/relay.rs
@@ -97,14 +97,14 @@
                 self.tx = Transaction::Relayed { wrote };
                 self.relay_next(id, &text).await
             }
-            Transaction::Open { .. } | Transaction::Failed => Ok(()),
+            Transaction::Open(_) | Transaction::Failed => Ok(()),
         }
     }
 
     /// Commits the transaction through its carrier.
     pub(crate) async fn relay_commit(&mut self, id: &str) -> Result<(), WireError> {
         let wrote = match std::mem::take(&mut self.tx) {
-            Transaction::None | Transaction::Open { .. } => {
+            Transaction::None | Transaction::Open(_) => {
                 return self.fail(id, Code::Malformed, "no transaction is open").await;
             }
             Transaction::Failed => {
--- a/crates/entry/src/data/serve.rs
+++ b/crates/entry/src/data/serve.rs
@@ -53,9 +53,13 @@
     ) -> Result<(), WireError> {
         self.cx.shared.count(Counter::Statements);
         let received_at = clock::now();
-        let route = match self.find_route().await {
-            Ok((route, _)) => route,
-            Err((code, reason)) => return self.fail(id, code, reason).await,
+        // A change of the route applies from the next transaction onward.
+        let route = match &self.tx {
+            Transaction::Open(open) => open.route.clone(),
+            _ => match self.find_route().await {
+                Ok((route, _)) => route,
+                Err((code, reason)) => return self.fail(id, code, reason).await,
+            },
         };
         let stmt = ActiveStatement {
             id,
@@ -68,9 +72,7 @@
         match std::mem::take(&mut self.tx) {
             Transaction::None => self.run_single(&stmt, &route).await,
             Transaction::Pending { read_only } => self.run_first(&stmt, &route, read_only).await,
-            Transaction::Open { lease, read_only, wrote } => {
-                self.run_next(&stmt, lease, read_only, wrote).await
-            }
+            Transaction::Open(open) => self.run_next(&stmt, open).await,
             Transaction::Relayed { .. } | Transaction::Failed => Ok(()),
         }
     }
--- a/crates/entry/src/data/session.rs
+++ b/crates/entry/src/data/session.rs
@@ -62,13 +62,23 @@
     /// Begun by the caller, but not yet on a member or carrier.
     Pending { read_only: bool },
     /// Open on a member.
-    Open { lease: ConnLease, read_only: bool, wrote: bool },
+    Open(OpenTransaction),
     /// Open on a member, through a carrier.
     Relayed { wrote: bool },
     /// Failed and rolled back; the caller has not ended it yet.
     Failed,
 }
 
+/// A transaction that is open on a member.
+#[derive(Debug)]
+pub(crate) struct OpenTransaction {
+    pub(crate) lease: ConnLease,
+    /// The route that it began by; a later one applies from the next transaction onward.
+    pub(crate) route: Route,
+    pub(crate) read_only: bool,
+    pub(crate) wrote: bool,
+}
+
 /// Accepts callers until shutdown stops it.
 pub(crate) async fn listen(cx: Rc<Context>, listener: TcpListener) {
     let mut stop = cx.stop_accepting.clone();
@@ -213,7 +223,7 @@
     /// Waits for input from the caller. Rolls back an open transaction at the idle timeout or
     /// when shutdown stops transactions.
     async fn fill_in_transaction(&mut self) -> Result<(), WireError> {
-        let open = matches!(self.tx, Transaction::Open { .. } | Transaction::Relayed { .. });
+        let open = matches!(self.tx, Transaction::Open(_) | Transaction::Relayed { .. });
         let idle = self.cx.idle_in_transaction_timeout().filter(|_| open);
         let idle_timeout = async {
             match idle {
@@ -240,7 +250,7 @@
     /// Rolls back the open transaction. The caller is told with the reply to its next request.
     pub(crate) fn abandon_transaction(&mut self) {
         match std::mem::replace(&mut self.tx, Transaction::Failed) {
-            Transaction::Open { lease, .. } => roll_back(lease),
+            Transaction::Open(open) => roll_back(open.lease),
             Transaction::Relayed { .. } => self.relay.close(),
             Transaction::None | Transaction::Pending { .. } | Transaction::Failed => {}
         }
@@ -269,7 +279,7 @@
             Statement::Commit => self.commit(id).await,
             Statement::Rollback => {
                 match self.tx {
-                    Transaction::Open { .. } => self.abandon_transaction(),
+                    Transaction::Open(_) => self.abandon_transaction(),
                     Transaction::Relayed { .. } => self.roll_back_at_carrier().await,
                     _ => {}
                 }
@@ -305,7 +315,7 @@
         match self.tx {
             Transaction::None => TransactionState::Idle,
             Transaction::Pending { .. }
-            | Transaction::Open { .. }
+            | Transaction::Open(_)
             | Transaction::Relayed { .. } => TransactionState::Open,
             Transaction::Failed => TransactionState::Failed,
         }
--- a/crates/entry/src/data/single.rs
+++ b/crates/entry/src/data/single.rs
@@ -10,7 +10,7 @@
     data::{
         active_statement::{Acquired, ActiveStatement, AttemptOutcome},
         conn_lease::ConnLease,
-        group::{Group, requirement_for},
+        group::requirement_for,
         member_conn::{Answer, MemberError},
         serve::{GRANT_LAPSED, MAX_ATTEMPTS, RETRY_DELAY},
         session::Session,
@@ -47,10 +47,10 @@
                     return self.fail(stmt.id, Code::ReadOnly, reason).await;
                 }
             };
-            let outcome = self.attempt_single(stmt, route, &group, lease, required).await;
+            let outcome = self.attempt_single(stmt, route, lease, required).await;
             let (code, reason) = match outcome {
                 AttemptOutcome::Answered(lease, answer) => {
-                    return self.deliver_single(stmt, &group, lease, answer).await;
+                    return self.deliver_single(stmt, lease, answer).await;
                 }
                 AttemptOutcome::Unknown(reason) if !reads => {
                     return self.fail(stmt.id, Code::InDoubt, reason).await;
@@ -85,7 +85,6 @@
         &mut self,
         stmt: &ActiveStatement<'_>,
         route: &Route,
-        group: &std::rc::Rc<Group>,
         mut lease: ConnLease,
         required: Option<Position>,
     ) -> AttemptOutcome {
@@ -96,7 +95,7 @@
             lease.fail();
             return outcome;
         }
-        if required.is_none() && !group.may_use_primary(lease.epoch) {
+        if required.is_none() && !lease.may_use_primary() {
             lease.release();
             return AttemptOutcome::NotRun(Code::Busy, "a change of primary is under way");
         }
@@ -105,7 +104,7 @@
         let read_timeout = Span::from_micros(route.target.as_micros() / 2).max(MIN_READ_TIMEOUT);
         let limit = if reads { read_timeout.min(remaining) } else { remaining };
         match self.run_on_member(stmt, &mut lease, required, limit).await {
-            Ok(answer) => self.classify_answer(stmt.id, group, lease, answer, required),
+            Ok(answer) => self.classify_answer(stmt.id, lease, answer, required),
             Err(MemberError::Silent) => {
                 read_late_answer(lease);
                 AttemptOutcome::Unknown("the member did not answer in time")
@@ -122,7 +121,6 @@
     fn classify_answer(
         &mut self,
         id: &str,
-        group: &std::rc::Rc<Group>,
         mut lease: ConnLease,
         answer: Answer,
         required: Option<Position>,
@@ -143,7 +141,7 @@
         }
         logs::event(
             "member rejected statement",
-            &serde_json::json!({"request": id, "group": group.name, "member": lease.member,
+            &serde_json::json!({"request": id, "group": lease.group(), "member": lease.member,
                 "code": code.as_str(), "required": required.map(|it| it.to_string()),
                 "position": answer.position.map(|it| it.to_string())}),
         );
@@ -160,12 +158,11 @@
     async fn deliver_single(
         &mut self,
         stmt: &ActiveStatement<'_>,
-        group: &std::rc::Rc<Group>,
         lease: ConnLease,
         answer: Answer,
     ) -> Result<(), WireError> {
         let wrote = stmt.verb == Verb::Store && answer.result.is_ok();
-        if wrote && !group.may_use_primary(lease.epoch) {
+        if wrote && !lease.may_use_primary() {
             lease.release();
             return self.fail(stmt.id, Code::InDoubt, GRANT_LAPSED).await;
         }
--- a/crates/entry/src/data/transaction.rs
+++ b/crates/entry/src/data/transaction.rs
@@ -7,10 +7,9 @@
     clock,
     data::{
         active_statement::{Acquired, ActiveStatement, AttemptOutcome},
-        conn_lease::ConnLease,
         group::requirement_for,
         serve::{GRANT_LAPSED, MAX_ATTEMPTS, RETRY_DELAY},
-        session::{Session, Transaction, roll_back},
+        session::{OpenTransaction, Session, Transaction, roll_back},
     },
 };
 
@@ -46,7 +45,7 @@
             let after = required.filter(|position| *position > Position::default());
             let outcome = if lease.is_stale() {
                 Some(AttemptOutcome::NotRun(Code::Busy, "the member closed the connection"))
-            } else if required.is_none() && !group.may_use_primary(lease.epoch) {
+            } else if required.is_none() && !lease.may_use_primary() {
                 Some(AttemptOutcome::NotRun(Code::Busy, "a change of primary is under way"))
             } else {
                 self.set_up(&mut lease, stmt.prepared, Some((begin, after))).await
@@ -69,17 +68,17 @@
                 time::sleep(RETRY_DELAY).await;
             }
         };
-        self.run_next(stmt, lease, read_only, false).await
+        let open = OpenTransaction { lease, route: route.clone(), read_only, wrote: false };
+        self.run_next(stmt, open).await
     }
 
     /// Runs a statement of a transaction that is open on a member.
     pub(super) async fn run_next(
         &mut self,
         stmt: &ActiveStatement<'_>,
-        mut lease: ConnLease,
-        read_only: bool,
-        wrote: bool,
+        open: OpenTransaction,
     ) -> Result<(), WireError> {
+        let OpenTransaction { mut lease, route, read_only, wrote } = open;
         if let Some(outcome) = self.set_up(&mut lease, stmt.prepared, None).await {
             drop(lease);
             self.tx = Transaction::Failed;
@@ -106,7 +105,10 @@
         }
         let wrote = wrote || stmt.verb == Verb::Store;
         match answer.state {
-            TransactionState::Open => self.tx = Transaction::Open { lease, read_only, wrote },
+            TransactionState::Open => {
+                let open = OpenTransaction { lease, route, read_only, wrote };
+                self.tx = Transaction::Open(open);
+            }
             TransactionState::Failed => {
                 roll_back(lease);
                 self.tx = Transaction::Failed;
@@ -119,12 +121,7 @@
     /// Commits the transaction.
     pub(crate) async fn commit(&mut self, id: &str) -> Result<(), WireError> {
         let received_at = clock::now();
-        let Some((route, _)) = self.cx.route(&self.database) else {
-            self.abandon_transaction();
-            self.tx = Transaction::None;
-            return self.fail(id, Code::Aborted, "no database of that name any more").await;
-        };
-        let stmt = ActiveStatement {
+        let commit_by = |route: &Route| ActiveStatement {
             id,
             verb: Verb::Fetch,
             text: own::COMMIT,
@@ -138,31 +135,29 @@
                 self.fail(id, Code::Aborted, "the transaction failed").await
             }
             Transaction::Pending { read_only } => {
+                let Some((route, _)) = self.cx.route(&self.database) else {
+                    return self.fail(id, Code::Aborted, "no database of that name any more").await;
+                };
                 // An empty transaction is begun and committed on a member all the same, for the
                 // member's signature.
-                self.run_first(&stmt, &route, read_only).await?;
+                self.run_first(&commit_by(&route), &route, read_only).await?;
                 if matches!(self.tx, Transaction::Failed) {
                     self.tx = Transaction::None;
                 }
                 Ok(())
             }
-            Transaction::Open { lease, read_only, wrote } => {
-                self.commit_open(&stmt, &route, lease, read_only, wrote).await
-            }
+            Transaction::Open(open) => self.commit_open(&commit_by(&open.route), open).await,
         }
     }
 
     async fn commit_open(
         &mut self,
         stmt: &ActiveStatement<'_>,
-        route: &Route,
-        mut lease: ConnLease,
-        read_only: bool,
-        wrote: bool,
+        open: OpenTransaction,
     ) -> Result<(), WireError> {
-        let group = self.cx.group(&route.group);
+        let OpenTransaction { mut lease, read_only, wrote, .. } = open;
         let writes = wrote && !read_only;
-        if writes && !group.may_use_primary(lease.epoch) {
+        if writes && !lease.may_use_primary() {
             roll_back(lease);
             return self.fail(stmt.id, Code::Aborted, "the primary is being replaced").await;
         }
@@ -175,7 +170,7 @@
                 return self.fail(stmt.id, code, &error.to_string()).await;
             }
         };
-        let usable = group.may_use_primary(lease.epoch);
+        let usable = lease.may_use_primary();
         if answer.state == TransactionState::Idle {
             lease.release();
         } else {
--- /dev/null
+++ b/crates/entry/tests/changes_of_primary.rs
@@ -0,0 +1,91 @@
+//! Tests of the daemon process when a group's primary is replaced.
+
+mod support;
+
+use std::{thread, time::Duration};
+
+use serde_json::Value;
+use standins::lines::{Options, Platform};
+use support::{CONFIG_TIMEOUT, Daemon, client, eventually, wait_for_writes};
+
+const STATE_TABLE: &str = "corianderwharf";
+/// Time within which a daemon applies a changed row, well below the idle limit of transactions.
+const RECORD_TIMEOUT: Duration = Duration::from_millis(1_000);
+
+/// Starts a platform with two groups. The first one has the database `orders`.
+fn start_two_groups() -> Platform {
+    let options = Options {
+        groups: vec!["svc1".to_owned(), "svc2".to_owned()],
+        lag: base::Span::ZERO,
+        databases: route("svc1"),
+    };
+    Platform::start(&options).expect("test setup failed")
+}
+
+/// The databases of both groups, where `orders` belongs to the given one.
+fn route(service: &str) -> Vec<Vec<String>> {
+    ["svc1", "svc2"]
+        .map(|name| if name == service { vec!["orders".to_owned()] } else { Vec::new() })
+        .into()
+}
+
+/// Writes the record of a group's new primary as the daemon does that holds the failover lease.
+fn record_primary(platform: &Platform, service: &str, id: &str) {
+    let key = format!("lead/{service}");
+    let record = platform.row(STATE_TABLE, &key).expect("a record of the primary");
+    let mut record: Value = serde_json::from_slice(&record).expect("a record in JSON");
+    record["primary"] = id.into();
+    platform.put_row(STATE_TABLE, &key, record.to_string().as_bytes());
+}
+
+/// Guards against a COMMIT that is judged by the group that the database belongs to by now: it was
+/// acknowledged by a replaced primary of the group that the transaction had begun in.
+#[test]
+fn a_commit_is_refused_if_the_route_has_moved_and_the_primary_was_replaced() {
+    let platform = start_two_groups();
+    let daemon = Daemon::start("d1", "127.0.3.1", 0.25, platform.addr);
+    daemon.wait_ready();
+    wait_for_writes(&daemon);
+    let mut session = client(&daemon, "orders");
+    session.query("BEGIN");
+    assert!(session.query("STORE lot oak").result.is_ok());
+    platform.configure(&route("svc2"));
+    wait_for_writes(&daemon);
+    eventually(CONFIG_TIMEOUT, "the new route", || {
+        client(&daemon, "orders").query("STORE other x").result.is_ok()
+            && platform.item(1, "other").is_some()
+    });
+    platform.replace_unnoticed(0, "svc1-m2");
+    record_primary(&platform, "svc1", "svc1-m2");
+    thread::sleep(RECORD_TIMEOUT);
+    let answer = session.query("COMMIT").result;
+    let refusal = answer.expect_err("the replaced primary's commit was acknowledged");
+    assert!(refusal.starts_with("ABORTED"), "{refusal}");
+    assert_eq!(platform.item(0, "lot"), None);
+}
+
+/// Guards against a healthy transaction that is aborted because its database has moved to a group
+/// with another number of changes, or was dropped.
+#[test]
+fn a_transaction_goes_on_by_the_route_that_it_began_by() {
+    let platform = start_two_groups();
+    let daemon = Daemon::start("d1", "127.0.3.2", 0.25, platform.addr);
+    daemon.wait_ready();
+    wait_for_writes(&daemon);
+    for (item, databases) in [("moved", route("svc2")), ("dropped", route("none"))] {
+        platform.configure(&route("svc1"));
+        eventually(CONFIG_TIMEOUT, "the first route", || {
+            client(&daemon, "orders").query(&format!("STORE before-{item} x")).result.is_ok()
+                && platform.item(0, &format!("before-{item}")).is_some()
+        });
+        let mut session = client(&daemon, "orders");
+        session.query("BEGIN");
+        assert!(session.query(&format!("STORE {item} x")).result.is_ok());
+        platform.configure(&databases);
+        thread::sleep(RECORD_TIMEOUT);
+        assert!(session.query(&format!("FETCH {item}")).result.is_ok());
+        let answer = session.query("COMMIT").result;
+        assert!(answer.is_ok(), "{item}: {answer:?}");
+        assert_eq!(platform.item(0, item).as_deref(), Some("x"));
+    }
+}
--- a/crates/standins/src/lines/platform.rs
+++ b/crates/standins/src/lines/platform.rs
@@ -7,6 +7,7 @@
 };
 
 use base::Span;
+use base64::{Engine, engine::general_purpose::STANDARD};
 use serde_json::{Value, json};
 use tokio::{
     net::{TcpListener, TcpStream},
@@ -197,6 +198,22 @@
         self.shared.store.put_bytes(table, key, Some(value));
     }
 
+    /// Value of a row; `None` if it does not exist.
+    pub fn row(&self, table: &str, key: &str) -> Option<Vec<u8>> {
+        let state = self.shared.store.state();
+        let rows = state.rows.existing(table);
+        let (_, value, _) = rows.into_iter().find(|(existing, _, _)| *existing == key)?;
+        STANDARD.decode(value?).ok()
+    }
+
+    /// Cuts a group's primary off from the other members, so that it does not notice that it is
+    /// replaced, and promotes another member.
+    pub fn replace_unnoticed(&self, group: usize, id: &str) {
+        self.group(group).set_partitioned(now(), true);
+        let (service, _) = &self.shared.groups[group];
+        self.shared.fail_over(service, id);
+    }
+
     /// Number of a table's rows whose keys begin with `prefix`.
     pub fn count_rows(&self, table: &str, prefix: &str) -> usize {
         let state = self.shared.store.state();
