Promote no other member while an earlier failover call may take effect

What callers saw: after a cut of the failover API healed, the promoted and recorded member was replaced by another one a second later.

Cause: a call without an answer counted as ended after 2.5 s (PROMOTION_TIMEOUT), and its candidate was excluded. It had been written to a connection kept open from an earlier failover; the partition held its bytes, and closing the connection in the usual way delivers them. Evidence: with the old code the log of the new test shows 'promotion' svc2-m2 Unknown until 8.29 s, svc2-m3 Unknown from 8.49 s, svc2-m3 Accepted as the link heals, and the stand-in's link delivers the call for svc2-m2 then: 2 promotions. Ruled out: a call sent after the takeover of the duty, and a late store write (the log names one holder and one token).

Fix, so that the end of a call is known: - Each call has a connection of its own, opened before the lease is confirmed. If it cannot be opened, the call was not made (new outcome NotMade). Related paths: planned failover, excluded candidates (only calls that were answered exclude), records in doubt, hand-over of the lease.

If it accepts connections and does not answer, and the candidate dies as well, another one waits until 8 s after the last unanswered call; before, it waited 2.5 s and could be undone. Each call takes one more round trip.

--- a/crates/entry/src/control/coordinator.rs
+++ b/crates/entry/src/control/coordinator.rs
@@ -1,6 +1,6 @@
 use std::net::SocketAddr;
 
-use adapter::{CallError, FailoverClient, Promotion, StoreClient, StoreKey, StoreTransaction};
+use adapter::{FailoverClient, Promotion, StoreClient, StoreKey, StoreTransaction};
 use base::{FastMap, Span, Time};
 use futures_channel::mpsc;
 use succession::{
@@ -26,9 +26,10 @@
 /// Additional time that a daemon waits before it takes the lease, for each live daemon that
 /// precedes it in the order of names, so that the first has taken it before the next tries.
 const TAKEOVER_STAGGER: Span = Span::from_millis(300);
-/// How long a new holder makes no failover calls, so that those of the previous holder have
-/// ended. The previous holder sends none later than [`CONFIRMATION_VALID_FOR`] after it began
-/// to confirm its lease.
+/// How long a new holder makes no failover calls, so that those of the previous holder have been
+/// delivered or discarded. The previous holder sends none later than [`CONFIRMATION_VALID_FOR`]
+/// after it began to confirm its lease, and what it sends is discarded after
+/// [`adapter::DELIVERY_TIMEOUT`].
 const FIRST_CALL_DELAY: Span = Span::from_millis(1_000);
 /// How long after it began to confirm its lease in the store the holder may send a failover
 /// call.
@@ -137,12 +138,15 @@
                 &serde_json::json!({"token": duty.map(|duty| duty.token)}),
             );
             self.holder_since = Some(now);
+            for (group, member) in duty.into_iter().flat_map(|duty| &duty.calls) {
+                self.failovers.entry(group.clone()).or_default().inherit_call(now, member);
+            }
         } else if !is_holder && self.holder_since.take().is_some() {
             logs::event(
                 "failover duty lost",
                 &serde_json::json!({"holder": duty.map(|duty| &duty.holder)}),
             );
-            self.failovers.clear();
+            self.failovers.values_mut().for_each(Failover::reset);
         }
     }
 
@@ -373,7 +377,7 @@
         record: &PrimaryRecord,
         reason: &str,
     ) {
-        let Some((_, duty)) = coordination.lease() else { return };
+        let Some((lease, lease_version)) = coordination.lease() else { return };
         logs::event(
             "writing lead record",
             &serde_json::json!({"group": group, "primary": record.primary,
@@ -383,8 +387,13 @@
         );
         let key = CoordinationState::primary_record_key(group);
         let place = StoreKey { table: STATE_TABLE, key: &key };
+        let change = change.with_expected(CoordinationState::lease_key(), lease_version);
+        let change = if record.changing || !lease.calls.contains_key(group) {
+            change
+        } else {
+            change.with_put(CoordinationState::lease_key(), &encode(&lease.without_call(group)))
+        };
         let change = change
-            .with_expected(CoordinationState::lease_key(), duty)
             .with_expected(place, version)
             .with_put(place, &encode(&PrimaryRecord { era: coordination.era, ..record.clone() }));
         self.write("lead", change);
@@ -424,8 +433,8 @@
         group: &str,
         member: String,
     ) {
-        let Some((duty, version)) = coordination.lease() else { return };
-        let confirmed = LeaseRecord { confirmed: duty.confirmed + 1, ..duty.clone() };
+        let Some((lease, version)) = coordination.lease() else { return };
+        let confirmed = lease.with_call(group, &member);
         let confirmation = confirmation
             .with_expected(CoordinationState::lease_key(), version)
             .with_put(CoordinationState::lease_key(), &encode(&confirmed));
@@ -433,12 +442,12 @@
             (self.store.clone(), self.failover_client.clone(), self.events.clone());
         let group = group.to_owned();
         tokio::spawn(async move {
-            let outcome =
+            let (outcome, reason) =
                 confirm_and_call(&store, &client, &confirmation, &confirmed, &group, &member).await;
             logs::event(
                 "promotion",
                 &serde_json::json!({"group": group, "member": member, "token": confirmed.token,
-                    "outcome": format!("{outcome:?}")}),
+                    "outcome": format!("{outcome:?}"), "reason": reason}),
             );
             // Fails only during shutdown.
             let _ = events.unbounded_send(Event::PromotionFinished { group, member, outcome });
@@ -446,6 +455,8 @@
     }
 }
 
+/// Makes a failover call on a connection that is open before the lease is confirmed. Also returns
+/// the reason for an outcome other than that the platform accepts or declines, for the log.
 async fn confirm_and_call(
     store: &StoreClient,
     client: &FailoverClient,
@@ -453,20 +464,30 @@
     lease: &LeaseRecord,
     group: &str,
     member: &str,
-) -> PromotionOutcome {
+) -> (PromotionOutcome, Option<String>) {
+    let conn = match client.connect().await {
+        Ok(conn) => conn,
+        Err(error) => {
+            let reason = format!("the failover API cannot be reached: {error}");
+            return (PromotionOutcome::NotMade, Some(reason));
+        }
+    };
     let asked_at = clock::now();
-    match store.apply(confirmation).await {
-        Ok(_) if clock::now().since(asked_at) < CONFIRMATION_VALID_FOR => {}
-        Ok(_) | Err(_) => return PromotionOutcome::Unknown,
+    if let Err(error) = store.apply(confirmation).await {
+        let reason = format!("the lease could not be confirmed: {error}");
+        return (PromotionOutcome::NotMade, Some(reason));
     }
-    match client.fail_over(group, member, &lease.holder, lease.token).await {
-        Ok(Promotion::Accepted) => PromotionOutcome::Accepted,
-        Ok(Promotion::Declined) => PromotionOutcome::Declined,
-        Err(CallError::Refused { .. } | CallError::NoResponse { .. }) => PromotionOutcome::Unknown,
-        Err(error) => {
-            logs::warn(&format!("failover call for group {group:?} failed: {error}"));
-            PromotionOutcome::Unknown
+    if clock::now().since(asked_at) >= CONFIRMATION_VALID_FOR {
+        let reason = "the lease was confirmed too late".to_owned();
+        return (PromotionOutcome::NotMade, Some(reason));
+    }
+    match conn.fail_over(group, member, &lease.holder, lease.token).await {
+        Ok(Promotion::Accepted) => (PromotionOutcome::Accepted, None),
+        Ok(Promotion::Declined) => (PromotionOutcome::Declined, None),
+        Ok(Promotion::Refused { status }) => {
+            (PromotionOutcome::NotMade, Some(format!("refused with HTTP status {status}")))
         }
+        Err(error) => (PromotionOutcome::Unknown, Some(error.to_string())),
     }
 }
 
--- a/crates/entry/src/control/coordinator/tests.rs
+++ b/crates/entry/src/control/coordinator/tests.rs
@@ -31,7 +31,7 @@
         since_ms: 0,
         gone: false,
     };
-    let lease = LeaseRecord { holder: "d2".to_owned(), run: 2, token: 1, confirmed: 0, era: 0 };
+    let lease = LeaseRecord { holder: "d2".to_owned(), run: 2, token: 1, ..LeaseRecord::default() };
     let mut coordination = CoordinationState::default();
     coordination.loaded = true;
     let rows = [row("carrier/a/0", &carrier), row("duty", &lease)];
--- a/crates/entry/src/data/conn_lease.rs
+++ b/crates/entry/src/data/conn_lease.rs
@@ -98,8 +98,7 @@
     pub(crate) fn end_statement(&mut self, answer: Option<&Answer>) {
         let now = clock::now();
         let sent_at = self.sent_at;
-        let usable_since =
-            (self.counts && self.may_use_primary()).then_some(sent_at);
+        let usable_since = (self.counts && self.may_use_primary()).then_some(sent_at);
         let service = answer.map(|_| now.since(sent_at));
         let running = std::mem::replace(&mut self.running, false);
         self.group.with_pool(|pool| {
--- a/crates/entry/src/data/session.rs
+++ b/crates/entry/src/data/session.rs
@@ -314,9 +314,9 @@
     pub(crate) fn state(&self) -> TransactionState {
         match self.tx {
             Transaction::None => TransactionState::Idle,
-            Transaction::Pending { .. }
-            | Transaction::Open(_)
-            | Transaction::Relayed { .. } => TransactionState::Open,
+            Transaction::Pending { .. } | Transaction::Open(_) | Transaction::Relayed { .. } => {
+                TransactionState::Open
+            }
             Transaction::Failed => TransactionState::Failed,
         }
     }
--- a/crates/entry/tests/changes_of_primary.rs
+++ b/crates/entry/tests/changes_of_primary.rs
@@ -2,26 +2,36 @@
 
 mod support;
 
-use std::{thread, time::Duration};
+use std::{
+    net::SocketAddr,
+    thread,
+    time::{Duration, Instant},
+};
 
 use serde_json::Value;
 use standins::lines::{Options, Platform};
-use support::{CONFIG_TIMEOUT, Daemon, client, eventually, wait_for_writes};
+use support::{CONFIG_TIMEOUT, Daemon, Link, client, eventually, wait_for_writes};
 
 const STATE_TABLE: &str = "corianderwharf";
 /// Time within which a daemon applies a changed row, well below the idle limit of transactions.
 const RECORD_TIMEOUT: Duration = Duration::from_millis(1_000);
+/// How long the failover API is cut off: longer than a daemon waits for a promotion.
+const CUT: Duration = Duration::from_millis(4_000);
+/// Longest time that the users allow for a failover.
+const FAILOVER_TIMEOUT: Duration = Duration::from_secs(6);
 
-/// Starts a platform with two groups. The first one has the database `orders`.
-fn start_two_groups() -> Platform {
-    let options = Options {
-        groups: vec!["svc1".to_owned(), "svc2".to_owned()],
-        lag: base::Span::ZERO,
-        databases: route("svc1"),
-    };
+/// Starts a platform with two groups and their databases.
+fn start_two_groups(databases: Vec<Vec<String>>) -> Platform {
+    let groups = vec!["svc1".to_owned(), "svc2".to_owned()];
+    let options = Options { groups, lag: base::Span::ZERO, databases };
     Platform::start(&options).expect("test setup failed")
 }
 
+/// A database for each of the two groups.
+fn two_databases() -> Vec<Vec<String>> {
+    vec![vec!["orders".to_owned()], vec!["orders-2".to_owned()]]
+}
+
 /// The databases of both groups, where `orders` belongs to the given one.
 fn route(service: &str) -> Vec<Vec<String>> {
     ["svc1", "svc2"]
@@ -42,7 +52,7 @@
 /// acknowledged by a replaced primary of the group that the transaction had begun in.
 #[test]
 fn a_commit_is_refused_if_the_route_has_moved_and_the_primary_was_replaced() {
-    let platform = start_two_groups();
+    let platform = start_two_groups(route("svc1"));
     let daemon = Daemon::start("d1", "127.0.3.1", 0.25, platform.addr);
     daemon.wait_ready();
     wait_for_writes(&daemon);
@@ -68,7 +78,7 @@
 /// with another number of changes, or was dropped.
 #[test]
 fn a_transaction_goes_on_by_the_route_that_it_began_by() {
-    let platform = start_two_groups();
+    let platform = start_two_groups(route("svc1"));
     let daemon = Daemon::start("d1", "127.0.3.2", 0.25, platform.addr);
     daemon.wait_ready();
     wait_for_writes(&daemon);
@@ -89,3 +99,56 @@
         assert_eq!(platform.item(0, item).as_deref(), Some("x"));
     }
 }
+
+/// Starts a daemon that reaches the failover API through a link, and fails over the first group, as
+/// clients that reuse connections have one open afterwards.
+fn start_behind_link(platform: &Platform, name: &str, ip: &str) -> (Daemon, Link) {
+    let link = Link::start(platform.addr);
+    let daemon = Daemon::start_with_failover_api(name, ip, 0.25, platform.addr, link.addr);
+    daemon.wait_ready();
+    wait_for_writes(&daemon);
+    wait_for_write(daemon.callers, "orders-2");
+    platform.crash("svc1-m1");
+    wait_for_write(daemon.callers, "orders");
+    (daemon, link)
+}
+
+/// Tries to write to a database for a while.
+fn write_for(length: Duration, daemon: SocketAddr, database: &str) {
+    let end = Instant::now() + length;
+    while Instant::now() < end {
+        if let Ok(mut session) = support::Client::connect(daemon, database) {
+            // The primary may be missing.
+            let _ = session.try_query("STORE lot y");
+        }
+        thread::sleep(Duration::from_millis(20));
+    }
+}
+
+/// Waits until a write to a database succeeds.
+fn wait_for_write(daemon: SocketAddr, database: &str) {
+    eventually(2 * FAILOVER_TIMEOUT, "a write", || {
+        let session = support::Client::connect(daemon, database);
+        session.is_ok_and(|mut session| session.query("STORE lot x").result.is_ok())
+    });
+}
+
+/// Guards against a failover call that a partition holds up and that takes effect after another
+/// member was promoted: writes were lost, and all later ones were refused.
+#[test]
+fn a_failover_call_held_up_by_a_partition_replaces_no_later_primary() {
+    let platform = start_two_groups(two_databases());
+    let (daemon, link) = start_behind_link(&platform, "d1", "127.0.3.3");
+    link.cut();
+    platform.crash("svc2-m1");
+    write_for(CUT, daemon.callers, "orders-2");
+    link.heal();
+    wait_for_write(daemon.callers, "orders-2");
+    let mut session = client(&daemon, "orders-2");
+    for number in 0..30 {
+        let answer = session.query(&format!("STORE lot-{number} x")).result;
+        assert!(answer.is_ok(), "{answer:?}");
+        thread::sleep(Duration::from_millis(50));
+    }
+    assert_eq!(platform.promotions(1), 1);
+}
--- a/crates/entry/tests/support/daemon.rs
+++ b/crates/entry/tests/support/daemon.rs
@@ -27,6 +27,17 @@
 impl Daemon {
     /// Starts a daemon. `ip` must be in the loopback range and not used by another daemon.
     pub fn start(name: &str, ip: &str, cores: f64, platform: SocketAddr) -> Daemon {
+        Daemon::start_with_failover_api(name, ip, cores, platform, platform)
+    }
+
+    /// Starts a daemon that makes failover calls to an address of their own.
+    pub fn start_with_failover_api(
+        name: &str,
+        ip: &str,
+        cores: f64,
+        platform: SocketAddr,
+        failover_api: SocketAddr,
+    ) -> Daemon {
         let ip: IpAddr = ip.parse().expect("test setup failed");
         let _lock = lock_spawn();
         let [callers, readiness, peers] = free_addrs(ip);
@@ -36,7 +47,7 @@
              heartbeat_ms = 1200\n[zones]\na = \"r\"\n[listen]\nfrontend = \"{callers}\"\n\
              readiness = \"{readiness}\"\n[limits]\ncpu_share = {cores}\ncores = 1\n\
              [bounds]\ngrace_s = 6\n[platform]\naddr = \"{platform}\"\n\
-             [cloud_api]\naddr = \"{platform}\"\n"
+             [cloud_api]\naddr = \"{failover_api}\"\n"
         );
         let settings = std::env::temp_dir().join(format!("entry-{}-{callers}.toml", name));
         fs::write(&settings, text).expect("test setup failed");
@@ -91,6 +102,11 @@
         self.signal("-TERM");
     }
 
+    /// Sends SIGKILL to the process.
+    pub fn kill(&self) {
+        self.signal("-KILL");
+    }
+
     /// Suspends the process until [`Daemon::resume`].
     pub fn suspend(&self) {
         self.signal("-STOP");
--- a/crates/entry/tests/support/link.rs
+++ b/crates/entry/tests/support/link.rs
@@ -12,7 +12,15 @@
 /// How often a cut link checks whether it is whole again.
 const CHECK_INTERVAL: Duration = Duration::from_millis(5);
 
-/// A forwarding listener that can fall silent without closing its connections.
+/// Time between the last bytes of a connection and its end, so that the server carries out a request
+/// whose sender has left. Servers that notice the end first drop the request.
+const CLOSE_DELAY: Duration = Duration::from_millis(50);
+
+/// A forwarding listener that can be partitioned without closing its connections.
+///
+/// While it is, it behaves like TCP: a connection that is opened meanwhile never comes about, and
+/// what is sent on an earlier one is delivered once the partition has healed, unless its sender has
+/// reset the connection by then.
 pub struct Link {
     pub addr: SocketAddr,
     is_cut: Arc<AtomicBool>,
@@ -26,7 +34,12 @@
         let is_cut = Arc::new(AtomicBool::new(false));
         let link = Link { addr, is_cut: Arc::clone(&is_cut) };
         thread::spawn(move || {
-            for client in listener.incoming().flatten() {
+            for mut client in listener.incoming().flatten() {
+                if is_cut.load(Ordering::Relaxed) {
+                    // Ends when the client gives up.
+                    thread::spawn(move || while let Ok(1..) = client.read(&mut [0; 4096]) {});
+                    continue;
+                }
                 let Ok(server) = TcpStream::connect(target) else { continue };
                 for (from, to) in [(&client, &server), (&server, &client)] {
                     let (Ok(from), Ok(to)) = (from.try_clone(), to.try_clone()) else { continue };
@@ -38,10 +51,15 @@
         link
     }
 
-    /// Holds everything back from now on.
+    /// Begins a partition.
     pub fn cut(&self) {
         self.is_cut.store(true, Ordering::Relaxed);
     }
+
+    /// Ends the partition.
+    pub fn heal(&self) {
+        self.is_cut.store(false, Ordering::Relaxed);
+    }
 }
 
 fn forward(mut from: TcpStream, mut to: TcpStream, is_cut: &AtomicBool) {
@@ -50,10 +68,12 @@
         while is_cut.load(Ordering::Relaxed) {
             thread::sleep(CHECK_INTERVAL);
         }
-        if to.write_all(&buf[..count]).is_err() {
+        let was_reset = !matches!(from.take_error(), Ok(None));
+        if was_reset || to.write_all(&buf[..count]).is_err() {
             break;
         }
     }
+    thread::sleep(CLOSE_DELAY);
     // Fails if the other direction has closed the connection already.
     let _ = to.shutdown(std::net::Shutdown::Both);
 }
--- a/crates/standins/src/lines/group.rs
+++ b/crates/standins/src/lines/group.rs
@@ -97,6 +97,11 @@
         newest.map_or("", |(id, _)| id)
     }
 
+    /// Number of promotions so far.
+    pub fn promotions(&self) -> u64 {
+        self.term - 1
+    }
+
     /// Log of the newest term's primary, oldest commit first.
     pub fn commits(&self) -> &[Commit] {
         self.members.get(self.primary()).map_or(&[], |member| &member.log)
--- a/crates/standins/src/lines/platform.rs
+++ b/crates/standins/src/lines/platform.rs
@@ -241,6 +241,11 @@
         self.group(group).primary().to_owned()
     }
 
+    /// Number of promotions in the group with this index.
+    pub fn promotions(&self, group: usize) -> u64 {
+        self.group(group).promotions()
+    }
+
     /// Value of an item on the primary of the group with this index; `None` if never written.
     pub fn item(&self, group: usize, item: &str) -> Option<String> {
         let group = self.group(group);
--- a/crates/succession/src/failover.rs
+++ b/crates/succession/src/failover.rs
@@ -2,7 +2,11 @@
 
 use base::{FastMap, Position, Span, Time};
 
-use crate::{assessment::Assessment, records::PrimaryRecord};
+use crate::{
+    assessment::Assessment,
+    promotion_calls::{PROMOTION_TIMEOUT, PromotionCalls},
+    records::PrimaryRecord,
+};
 
 /// If commits need no replica, time to wait for the statuses of the candidates other than the
 /// old primary: several times the 20 ms that a connection and an answer take. When it has
@@ -11,10 +15,8 @@
 /// Time that a planned failover waits for a replica to catch up with the old primary, and
 /// that any failover waits for missing statuses if commits need replicas.
 const CATCH_UP_TIMEOUT: Span = Span::from_millis(800);
-/// Time that a promotion may take before another candidate is tried.
-const PROMOTION_TIMEOUT: Span = Span::from_millis(2_500);
-/// Time for which a candidate is excluded after the platform declined its promotion or the
-/// promotion timed out.
+/// Time for which a candidate is excluded after the platform declined its promotion, or accepted
+/// it without effect.
 const EXCLUDED_FOR: Span = Span::from_millis(1_000);
 /// How long the entry of a primary must have been missing before it counts as gone: entries that
 /// lapse during an outage of the store are back within two seconds of its end.
@@ -36,6 +38,8 @@
     /// Whether the platform has been asked to promote a member since the failover started. It may
     /// do so after the members have shown another primary.
     promotion_requested: bool,
+    /// The calls that may still take effect, whichever failover they were made in.
+    calls: PromotionCalls,
 }
 
 #[derive(Debug, Default)]
@@ -128,18 +132,29 @@
     Accepted,
     /// The platform will not make the member primary now; a later call may be accepted.
     Declined,
-    /// The call may or may not have taken effect.
+    /// The platform may make the member primary at any time: it may have received the call, and
+    /// has not answered it.
     Unknown,
+    /// The platform has not received the call and never will, or has refused to process it.
+    NotMade,
 }
 
 impl Failover {
-    /// Discards the progress of a failover.
+    /// Discards the progress of a failover, but not the knowledge of calls that may still take
+    /// effect.
     pub fn reset(&mut self) {
-        *self = Failover::default();
+        *self = Failover { calls: std::mem::take(&mut self.calls), ..Failover::default() };
+    }
+
+    /// Records a failover call that an earlier holder of the lease made for `member`, when this
+    /// daemon takes the lease.
+    pub fn inherit_call(&mut self, now: Time, member: &str) {
+        self.calls.inherit(now, member);
     }
 
     /// Records the outcome of a failover call.
     pub fn record_outcome(&mut self, now: Time, member: &str, outcome: PromotionOutcome) {
+        self.calls.end(now, member, outcome);
         let Phase::Promoting { to, since, accepted } = &mut self.phase else { return };
         if to != member {
             return;
@@ -149,7 +164,7 @@
                 *accepted = true;
                 *since = now;
             }
-            PromotionOutcome::Accepted | PromotionOutcome::Unknown => {}
+            PromotionOutcome::Accepted | PromotionOutcome::Unknown | PromotionOutcome::NotMade => {}
             PromotionOutcome::Declined => {
                 self.excluded.insert(member.to_owned(), now + EXCLUDED_FOR);
                 self.phase = Phase::QueryingStatus { since: now, step_down_sent: false };
@@ -183,7 +198,10 @@
         if action.is_some() {
             self.last_action = Some(now);
         }
-        self.promotion_requested |= matches!(action, Some(Action::Promote { .. }));
+        if let Some(Action::Promote { member }) = &action {
+            self.promotion_requested = true;
+            self.calls.begin(member);
+        }
         action
     }
 
@@ -211,6 +229,10 @@
         let is_gone = missing_since.is_some_and(|at| now.since(at) >= ENTRY_RETURN_TIMEOUT);
         let (planned, reason) = match (view.assessment, primary) {
             (Assessment::Replace, _) => (false, "enough daemons find the primary failed"),
+            // Another member can be promoted only once no call may promote this one again.
+            (Assessment::Keep, Some(primary)) if self.calls.is_open(now, &primary.id) => {
+                return None;
+            }
             (Assessment::Keep, Some(primary)) if primary.leaving => {
                 (true, "the primary is leaving")
             }
@@ -231,7 +253,7 @@
     /// has to stop using it.
     fn identify_primary(&mut self, now: Time, view: &FailoverView<'_>) -> Option<Action> {
         if let Phase::QueryingStatus { since, .. } = self.phase {
-            if let Some(primary) = only_primary(view.members, since) {
+            if let Some(primary) = self.shown_primary(now, since, view) {
                 return Some(confirmation(primary));
             }
             if now.since(since) < IDENTIFICATION_TIMEOUT {
@@ -242,6 +264,17 @@
         Some(Action::QueryStatus)
     }
 
+    /// The primary that all members show, unless a call may still promote another member.
+    fn shown_primary<'a>(
+        &self,
+        now: Time,
+        since: Time,
+        view: &FailoverView<'a>,
+    ) -> Option<&'a Candidate> {
+        let primary = only_primary(view.members, since)?;
+        self.calls.open(now).all(|member| member == primary.id).then_some(primary)
+    }
+
     fn step(
         &mut self,
         now: Time,
@@ -254,10 +287,10 @@
                 Some(Action::QueryStatus)
             }
             Phase::QueryingStatus { since, step_down_sent } => {
-                let since = *since;
+                let (since, step_down_sent) = (*since, *step_down_sent);
                 if record.in_doubt
                     && !self.promotion_requested
-                    && let Some(primary) = only_primary(view.members, since)
+                    && let Some(primary) = self.shown_primary(now, since, view)
                 {
                     return Some(confirmation(primary));
                 }
@@ -266,13 +299,13 @@
                 if let Some(status) = old_status
                     && status.primary
                     && !record.in_doubt
-                    && !*step_down_sent
+                    && !step_down_sent
                 {
-                    *step_down_sent = true;
+                    self.phase = Phase::QueryingStatus { since, step_down_sent: true };
                     let (member, term) = (record.primary.clone(), status.term + 1);
                     return Some(Action::StepDown { member, term });
                 }
-                let Some(chosen) = self.choose_candidate(now, since, record, view) else {
+                let Some(chosen) = self.next_candidate(now, since, record, view) else {
                     return Some(Action::QueryStatus);
                 };
                 self.phase = Phase::Promoting { to: chosen.clone(), since: now, accepted: false };
@@ -284,6 +317,7 @@
                     .and_then(|member| member.status)
                     .is_some_and(|status| status.primary && status.asked_at >= *since);
                 if *accepted && is_primary {
+                    self.calls.take_effect(to);
                     let record = PrimaryRecord { primary: to.clone(), ..PrimaryRecord::default() };
                     return Some(Action::Write {
                         record,
@@ -291,7 +325,10 @@
                     });
                 }
                 if now.since(*since) >= PROMOTION_TIMEOUT {
-                    self.excluded.insert(to.clone(), now + EXCLUDED_FOR);
+                    // Calls that were not accepted say nothing about the member.
+                    if *accepted {
+                        self.excluded.insert(to.clone(), now + EXCLUDED_FOR);
+                    }
                     self.phase = Phase::QueryingStatus { since: now, step_down_sent: false };
                     return Some(Action::QueryStatus);
                 }
@@ -303,6 +340,32 @@
         }
     }
 
+    /// Returns the member to promote; `None` while there is none. As long as a call may still take
+    /// effect, only the member that it names can be promoted.
+    fn next_candidate(
+        &self,
+        now: Time,
+        since: Time,
+        record: &PrimaryRecord,
+        view: &FailoverView<'_>,
+    ) -> Option<String> {
+        let open: Vec<_> = self.calls.open(now).collect();
+        let [named] = open.as_slice() else {
+            return if open.is_empty() {
+                self.choose_candidate(now, since, record, view)
+            } else {
+                None
+            };
+        };
+        let member = view.members.iter().find(|member| member.id == *named)?;
+        let is_available = status_since(member, since).is_some() && !self.is_excluded(now, member);
+        is_available.then(|| member.id.clone())
+    }
+
+    fn is_excluded(&self, now: Time, member: &Candidate) -> bool {
+        self.excluded.get(&member.id).is_some_and(|until| *until > now)
+    }
+
     /// Returns the eligible candidate with the most advanced log; if the present primary is in
     /// doubt, preferably a primary: the platform changes nothing if it is the present one. `None` while it waits for missing statuses or, in a
     /// planned failover, for a replica to catch up, and if no eligible candidate has answered.
@@ -314,8 +377,7 @@
         view: &FailoverView<'_>,
     ) -> Option<String> {
         let eligible = view.members.iter().filter(|member| {
-            let excluded = self.excluded.get(&member.id).is_some_and(|until| *until > now);
-            (!member.leaving || record.in_doubt) && !excluded
+            (!member.leaving || record.in_doubt) && !self.is_excluded(now, member)
         });
         let eligible: Vec<_> = eligible.collect();
         let others = eligible.iter().filter(|it| record.in_doubt || it.id != record.primary);
--- a/crates/succession/src/lib.rs
+++ b/crates/succession/src/lib.rs
@@ -14,6 +14,7 @@
 mod followed_tables;
 mod grants;
 mod peer_answers;
+mod promotion_calls;
 mod records;
 
 pub use crate::{
@@ -26,5 +27,6 @@
         CarrierState, GRANT_DURATION, GRANT_WITHOUT_STORE, PrimaryGrant, SETTLED_AFTER,
         is_majority_of_every_list, is_primary_unused,
     },
+    promotion_calls::LATE_CALL_MAX,
     records::{CarrierRecord, EraRecord, LeaseRecord, PrimaryRecord},
 };
--- a/crates/succession/src/records.rs
+++ b/crates/succession/src/records.rs
@@ -1,4 +1,4 @@
-use std::net::SocketAddr;
+use std::{collections::BTreeMap, net::SocketAddr};
 
 use base::Span;
 
@@ -52,6 +52,10 @@
     /// Era of the store in which the lease was acquired. It ends with the era.
     #[serde(default)]
     pub era: u64,
+    /// For each group, the member of the last failover call, whoever made it, until the member is
+    /// recorded as primary. The call may take effect after its caller has lost the lease.
+    #[serde(default)]
+    pub calls: BTreeMap<String, String>,
 }
 
 impl LeaseRecord {
@@ -61,7 +65,22 @@
     /// first token of an era is above all tokens of earlier ones.
     pub fn new(previous: Option<&LeaseRecord>, era: u64, holder: String, run: u64) -> LeaseRecord {
         let last_token = previous.map_or(0, |lease| lease.token).max(era << TOKEN_ERA_SHIFT);
-        LeaseRecord { holder, run, token: last_token + 1, confirmed: 0, era }
+        let calls = previous.map_or_else(BTreeMap::new, |lease| lease.calls.clone());
+        LeaseRecord { holder, run, token: last_token + 1, confirmed: 0, era, calls }
+    }
+
+    /// The lease as its holder confirms it immediately before a failover call.
+    pub fn with_call(&self, group: &str, member: &str) -> LeaseRecord {
+        let mut lease = LeaseRecord { confirmed: self.confirmed + 1, ..self.clone() };
+        lease.calls.insert(group.to_owned(), member.to_owned());
+        lease
+    }
+
+    /// The lease after a group's new primary has been recorded.
+    pub fn without_call(&self, group: &str) -> LeaseRecord {
+        let mut lease = self.clone();
+        lease.calls.remove(group);
+        lease
     }
 }
 
--- a/crates/succession/tests/changes.rs
+++ b/crates/succession/tests/changes.rs
@@ -3,8 +3,8 @@
 
 use base::{Position, Span, Time};
 use succession::{
-    Action, Assessment, Candidate, CandidateStatus, Failover, FailoverView, PrimaryHealth,
-    PrimaryRecord, PromotionOutcome, assess,
+    Action, Assessment, Candidate, CandidateStatus, Failover, FailoverView, LATE_CALL_MAX,
+    PrimaryHealth, PrimaryRecord, PromotionOutcome, assess,
 };
 
 struct Case {
@@ -241,6 +241,92 @@
     assert_eq!(case.tick(), promote);
 }
 
+/// Guards against two promotions in a row: the platform carried out a call after the daemon had
+/// given it up and another member had been promoted and recorded.
+#[test]
+fn no_other_member_is_promoted_while_an_unanswered_call_may_take_effect() {
+    let mut case = Case::changing(false);
+    case.tick();
+    case.status("r1", false, 1, 40);
+    case.status("r2", false, 1, 39);
+    let promote = |member: &str| Some(Action::Promote { member: member.to_owned() });
+    assert_eq!(case.tick(), promote("r1"));
+    case.failover.record_outcome(case.now, "r1", PromotionOutcome::Unknown);
+    let unanswered_at = case.now;
+    let mut last_call = unanswered_at;
+    loop {
+        // The member itself does not answer any more.
+        case.status("r2", false, 1, 39);
+        let action = case.tick();
+        if action == promote("r2") {
+            break;
+        }
+        if action == promote("r1") {
+            last_call = case.now;
+            case.failover.record_outcome(case.now, "r1", PromotionOutcome::NotMade);
+        }
+    }
+    assert!(case.now >= unanswered_at + LATE_CALL_MAX);
+    assert!(last_call < unanswered_at + Span::from_millis(3_000), "a silent member is asked for");
+}
+
+/// Guards against waiting for calls that cannot take effect any more.
+#[test]
+fn a_call_that_did_not_reach_the_platform_delays_no_other_member() {
+    let mut case = Case::changing(false);
+    case.tick();
+    case.status("r1", false, 1, 40);
+    case.status("r2", false, 1, 39);
+    let started = case.now;
+    let promote = |member: &str| Some(Action::Promote { member: member.to_owned() });
+    while case.tick() != promote("r2") {
+        case.failover.record_outcome(case.now, "r1", PromotionOutcome::NotMade);
+        case.status("r2", false, 1, 39);
+    }
+    assert!(case.now < started + Span::from_millis(3_500));
+}
+
+/// Guards against a promotion beside that of a call which an earlier holder of the lease has made.
+#[test]
+fn the_member_of_an_earlier_holders_call_is_promoted_first() {
+    let mut case = Case::changing(false);
+    case.failover.inherit_call(case.now, "r1");
+    case.tick();
+    case.status("r2", false, 1, 42);
+    assert_eq!(case.tick(), Some(Action::QueryStatus), "r1 may be promoted at any time");
+    case.status("r1", false, 1, 40);
+    assert_eq!(case.tick(), Some(Action::Promote { member: "r1".to_owned() }));
+}
+
+/// Guards against a record that an earlier holder's call makes wrong a moment later.
+#[test]
+fn no_primary_is_confirmed_by_its_members_while_a_call_may_promote_another() {
+    let mut case = Case { record: Some(in_doubt("p")), primary_unused: false, ..Case::new() };
+    case.failover.inherit_call(case.now, "r1");
+    let inherited_at = case.now;
+    loop {
+        let action = case.tick();
+        if written_record(action).is_some() {
+            break;
+        }
+        case.status("p", true, 1, 50);
+        case.status("r1", false, 1, 41);
+        case.status("r2", false, 1, 42);
+    }
+    assert!(case.now >= inherited_at + LATE_CALL_MAX);
+}
+
+/// Guards against a planned failover that an unanswered call for the present primary undoes.
+#[test]
+fn a_primary_that_a_call_may_promote_again_is_not_replaced_yet() {
+    let mut case = Case { record: Some(record("p", false, false)), ..Case::new() };
+    case.members[0].leaving = true;
+    case.failover.inherit_call(case.now, "p");
+    assert_eq!(case.tick(), None);
+    case.now = case.now + LATE_CALL_MAX;
+    assert_eq!(written_record(case.tick()), Some(record("p", true, true)));
+}
+
 #[test]
 fn a_member_whose_promotion_the_platform_declined_is_skipped() {
     let mut case = Case::changing(false);
