Promote only members that have all acknowledged commits

Cause: choose_candidate waited 0.8 s for missing statuses, then took the best of those that had come. It also left excluded and leaving replicas out of the count. Ruled out: a replica that had confirmed and lost the commits (its log holds them).

Fix: a promoted member must reach the position that no acknowledged commit can exceed (KnownLogs): with n holders needed and m members unanswered, the (n - m)-th best end of the others, or the end of the old primary's log; as long as neither is known, nobody is promoted. All members that may hold commits count: excluded, leaving, and those whose entry has lapsed within 30 s without draining. If only a leaving one has them, it is promoted; a planned failover without such a replica keeps the leaving primary and is tried again 3 s later. A primary in doubt counts as one holder more. Without sync_replicas nothing changes. PostgreSQL edition: a write with acknowledgement 'replica' needs so many replicas that every majority contains one; in groups of more than three members one was taken to suffice.

Tests, failed before: a_replica_that_lacks_acknowledged_commits_is_not_promoted (process, stand-in with deaf replicas and sync_replicas), six of the pure core; a_write_is_replicated_once_every_majority_contains_a_member_with_it.

--- a/crates/entry/src/control/coordination/tests.rs
+++ b/crates/entry/src/control/coordination/tests.rs
@@ -20,7 +20,7 @@
 /// The store gives out again the version on which the write depends, to the same row.
 #[test]
 fn a_late_write_of_an_earlier_era_changes_nothing() {
-    let options = Options { groups: Vec::new(), lag: Span::ZERO, databases: Vec::new() };
+    let options = Options::default();
     let platform = Platform::start(&options).expect("test setup failed");
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
     runtime.expect("test setup failed").block_on(write_late(&platform));
--- a/crates/entry/src/control/coordinator.rs
+++ b/crates/entry/src/control/coordinator.rs
@@ -80,6 +80,8 @@
 pub(crate) struct GroupView<'a> {
     pub(crate) name: &'a str,
     pub(crate) sync_replicas: u32,
+    /// Number of members whose entries have disappeared and that may come back with their logs.
+    pub(crate) departed: usize,
     pub(crate) candidates: Vec<MemberCandidate>,
     /// Health of the primary as this daemon observes it; `None` without a recent
     /// observation.
@@ -310,6 +312,7 @@
             members: &members,
             assessment,
             sync_replicas: group.sync_replicas,
+            departed: group.departed,
         };
         let failover = self.failovers.entry(group.name.to_owned()).or_default();
         let writing = self.write_retry_at.is_some_and(|until| now < until);
--- a/crates/entry/src/control/task.rs
+++ b/crates/entry/src/control/task.rs
@@ -77,6 +77,8 @@
     /// When the store was asked that has confirmed a configuration which is not yet in force there.
     pending_confirmation: Option<Time>,
     members: FastMap<String, Member>,
+    /// Group of each member that is gone but did not drain, and when it was dropped.
+    departed: FastMap<String, (String, Time)>,
     members_known: bool,
     pending_orders: PendingOrders,
     /// Version up to which this daemon applies the rows of the state table.
@@ -224,6 +226,7 @@
             applied_config: 0,
             pending_confirmation: None,
             members: FastMap::default(),
+            departed: FastMap::default(),
             members_known: false,
             pending_orders: PendingOrders::default(),
             applied_version: 0,
@@ -409,8 +412,13 @@
             .opinions
             .get(&group.name)
             .filter(|(id, _, at)| Some(id.as_str()) == primary && now.since(*at) < HEALTH_MAX_AGE);
+        let primary = primary.unwrap_or_default();
+        let departed = self.departed.iter().filter(|(id, (name, at))| {
+            *name == group.name && *id != primary && now.since(*at) < rows::DEPARTED_RETENTION
+        });
         GroupView {
             name: &group.name,
+            departed: departed.count(),
             sync_replicas: group.sync_replicas,
             candidates: candidates.collect(),
             local_health: opinion.map(|(_, opinion, _)| *opinion),
--- a/crates/entry/src/control/task/rows.rs
+++ b/crates/entry/src/control/task/rows.rs
@@ -23,6 +23,9 @@
 /// How long a member is kept after its entry has disappeared. Entries that expire during an
 /// outage of the store are written again within two seconds after its end.
 const MEMBER_ENTRY_EXPIRY: Span = Span::from_millis(2_300);
+/// How long a member that is gone counts as one that may come back with its log: several times as
+/// long as members are usually down or cut off from the store.
+pub(super) const DEPARTED_RETENTION: Span = Span::from_millis(30_000);
 /// Minimum interval between calls that ask the store whether members' entries are still missing.
 const MISSING_CHECK_INTERVAL: Span = Span::from_millis(1_000);
 /// Time between the turns of two carriers to write records again: the other learns by then that the
@@ -136,6 +139,7 @@
             match &row.value {
                 Some(bytes) => match MemberEntry::decode(&row.key, bytes) {
                     Some(entry) => {
+                        self.departed.remove(&row.key);
                         self.members.insert(row.key.clone(), Member { entry, missing_since: None });
                     }
                     None => logs::warn(&format!(
@@ -167,9 +171,17 @@
             }
             return;
         }
-        let before = self.members.len();
-        self.members.retain(|_, member| expires_at(member).is_none_or(|at| at > confirmed_at));
-        if self.members.len() < before {
+        let is_expired =
+            |member: &mut Member| expires_at(member).is_some_and(|at| at <= confirmed_at);
+        let expired: Vec<_> = self.members.extract_if(|_, member| is_expired(member)).collect();
+        self.departed.retain(|_, (_, at)| now.since(*at) < DEPARTED_RETENTION);
+        for (id, Member { entry, .. }) in &expired {
+            // The log of a member that has drained is at the member that took its address.
+            if entry.state != MemberState::Draining {
+                self.departed.insert(id.clone(), (entry.group.clone(), now));
+            }
+        }
+        if !expired.is_empty() {
             self.send_members();
         }
     }
--- a/crates/entry/tests/changes_of_primary.rs
+++ b/crates/entry/tests/changes_of_primary.rs
@@ -23,7 +23,7 @@
 /// Starts a platform with two groups and their databases.
 fn start_two_groups(databases: Vec<Vec<String>>) -> Platform {
     let groups = vec!["svc1".to_owned(), "svc2".to_owned()];
-    let options = Options { groups, lag: base::Span::ZERO, databases };
+    let options = Options { groups, databases, ..Options::default() };
     Platform::start(&options).expect("test setup failed")
 }
 
@@ -152,3 +152,32 @@
     }
     assert_eq!(platform.promotions(1), 1);
 }
+
+/// Guards against the promotion of a replica that lacks acknowledged commits, while the one that has
+/// confirmed them cannot be reached by the daemon.
+#[test]
+fn a_replica_that_lacks_acknowledged_commits_is_not_promoted() {
+    let options = Options {
+        groups: vec!["svc1".to_owned()],
+        databases: vec![vec!["orders".to_owned()]],
+        sync_replicas: 1,
+        ..Options::default()
+    };
+    let platform = Platform::start(&options).expect("test setup failed");
+    let link = Link::start(platform.member_addr("svc1-m2").expect("a member"));
+    platform.advertise("svc1-m2", link.addr);
+    let daemon = Daemon::start("d1", "127.0.3.7", 0.25, platform.addr);
+    daemon.wait_ready();
+    wait_for_writes(&daemon);
+    platform.set_deaf("svc1-m3", true);
+    let mut session = client(&daemon, "orders");
+    assert!(session.query("STORE confirmed oak").result.is_ok());
+    link.cut();
+    platform.crash("svc1-m1");
+    write_for(CUT, daemon.callers, "orders");
+    assert_eq!(platform.promotions(0), 0);
+    link.heal();
+    eventually(FAILOVER_TIMEOUT, "a failover", || platform.promotions(0) == 1);
+    assert_eq!(platform.primary(0), "svc1-m2");
+    assert_eq!(platform.item(0, "confirmed").as_deref(), Some("oak"));
+}
--- a/crates/entry/tests/support/mod.rs
+++ b/crates/entry/tests/support/mod.rs
@@ -13,7 +13,6 @@
     time::{Duration, Instant},
 };
 
-use base::Span;
 use standins::lines::{Options, Platform};
 
 pub use self::{client::Client, daemon::Daemon, link::Link, peer::Peer};
@@ -26,8 +25,8 @@
 pub fn start_platform() -> Platform {
     let options = Options {
         groups: vec!["svc1".to_owned()],
-        lag: Span::ZERO,
         databases: databases(&["orders", "lookups"]),
+        ..Options::default()
     };
     Platform::start(&options).expect("test setup failed")
 }
--- a/crates/home/src/probes.rs
+++ b/crates/home/src/probes.rs
@@ -73,8 +73,12 @@
 
     /// Whether a member other than `primary` has the log up to `position` in `term`.
     pub(crate) fn replicated(&self, term: Term, primary: usize, position: Position) -> bool {
-        let mut others = self.replies.iter().flatten().filter(|reply| reply.member != primary);
-        others.any(|reply| reply.status.term == term && reply.status.log_end >= position)
+        let others = self.replies.iter().flatten().filter(|reply| reply.member != primary);
+        let holders =
+            others.filter(|reply| reply.status.term == term && reply.status.log_end >= position);
+        // With the primary, so many that every majority, and so every election, meets one of them.
+        let required = (self.replies.len().div_ceil(2) - 1).max(1);
+        holders.count() >= required
     }
 
     /// Latest known status of a member; `None` if it has never replied.
@@ -87,3 +91,6 @@
             == self.replies.len()
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/standins/src/lines/control.rs
+++ b/crates/standins/src/lines/control.rs
@@ -49,6 +49,8 @@
     CrashPrimary(usize),
     /// Starts a stopped member again, by name.
     Restart(String),
+    /// Name of a member, and whether it receives nothing from its primary.
+    Deaf(String, bool),
     /// Name of a member, and the address under which the store lists it from now on.
     Advertise(String, SocketAddr),
 }
@@ -105,7 +107,8 @@
         TestCmd::Crash(id) => platform.crash(&id),
         TestCmd::CrashPrimary(group) => platform.crash(&platform.primary(group)),
         TestCmd::Restart(id) => platform.restart(&id),
-        TestCmd::Advertise(id, addr) => platform.shared.advertise(&id, addr),
+        TestCmd::Deaf(id, deaf) => platform.set_deaf(&id, deaf),
+        TestCmd::Advertise(id, addr) => platform.advertise(&id, addr),
     }
     Json(version)
 }
--- a/crates/standins/src/lines/group.rs
+++ b/crates/standins/src/lines/group.rs
@@ -15,6 +15,8 @@
     members: BTreeMap<String, Member>,
     term: u64,
     lag: Span,
+    /// Number of replicas that must receive a commit before it is acknowledged.
+    sync_replicas: usize,
     /// Whether replaced primaries are cut off from the group.
     partitioned: bool,
     /// Commits that only a replaced primary had and that it dropped when it became a replica.
@@ -30,6 +32,8 @@
     Lagging,
     /// The member is stopped. Its connections end without an answer.
     Stopped,
+    /// Too few replicas have received the commit, so that it is not acknowledged.
+    Unconfirmed,
 }
 
 #[derive(Clone, Debug, Default)]
@@ -45,6 +49,8 @@
     replaced_at: Option<Time>,
     /// Whether the member is stopped. It keeps its log.
     stopped: bool,
+    /// Whether it receives nothing from the primary.
+    deaf: bool,
 }
 
 impl Group {
@@ -54,7 +60,12 @@
             (id.clone(), Member { term: 1, is_primary: index == 0, ..Member::default() })
         };
         let members = ids.iter().enumerate().map(member).collect();
-        Group { members, term: 1, lag, partitioned: false, lost: Vec::new() }
+        Group { members, term: 1, lag, sync_replicas: 0, partitioned: false, lost: Vec::new() }
+    }
+
+    /// Sets the number of replicas that must receive a commit before it is acknowledged.
+    pub fn with_sync_replicas(self, sync_replicas: usize) -> Group {
+        Group { sync_replicas, ..self }
     }
 
     /// Sets the time between a commit and its application on replicas.
@@ -69,6 +80,16 @@
         }
     }
 
+    /// Sets whether a replica receives nothing from the primary. Afterwards it catches up at once.
+    pub fn set_deaf(&mut self, id: &str, deaf: bool) {
+        let (log, term) = (self.commits().to_vec(), self.term);
+        let Some(member) = self.members.get_mut(id) else { return };
+        member.deaf = deaf;
+        if !deaf && !member.is_primary {
+            member.follow(term, &log);
+        }
+    }
+
     /// Whether a member is stopped.
     pub fn is_stopped(&self, id: &str) -> bool {
         self.members[id].stopped
@@ -162,16 +183,20 @@
         let (term, index) = (self.term(id), self.received_position(id).index + 1);
         let position = Position::new(term, index);
         let commit = Commit { position, committed_at: now, request: request.to_owned(), writes };
+        let mut confirmed = 0;
         for (name, member) in &mut self.members {
             let own = name == id;
-            if own || (!member.is_primary && member.term == term) {
+            let receives = !member.is_primary && member.term == term && !member.deaf;
+            if own || receives {
                 member.log.push(commit.clone());
             }
             if own {
                 member.apply_all();
+            } else if receives && !member.stopped {
+                confirmed += 1;
             }
         }
-        Ok(())
+        if confirmed < self.sync_replicas { Err(Refusal::Unconfirmed) } else { Ok(()) }
     }
 
     /// Makes a member primary of the next term, with the log that it has received.
@@ -191,7 +216,7 @@
         }
         let log = self.members[id].log.clone();
         for (name, member) in &mut self.members {
-            if name != id && !member.is_primary {
+            if name != id && !member.is_primary && !member.deaf {
                 member.follow(term, &log);
             }
         }
--- a/crates/standins/src/lines/platform.rs
+++ b/crates/standins/src/lines/platform.rs
@@ -24,7 +24,7 @@
 const OPERATOR_TABLE: &str = "op";
 
 /// What the platform and its groups are at the start.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 pub struct Options {
     /// Names of the groups, which the protocols call services.
     pub groups: Vec<String>,
@@ -33,6 +33,8 @@
     /// Databases of each group, in the order of `groups`. Those whose names begin with `orders`
     /// are read at the primary, the others at members with a limited staleness.
     pub databases: Vec<Vec<String>>,
+    /// Number of replicas that must receive a commit before it is acknowledged, in all groups.
+    pub sync_replicas: u32,
 }
 
 impl Options {
@@ -56,6 +58,7 @@
     pub(crate) groups: Vec<(String, Arc<Mutex<Group>>)>,
     members: Mutex<BTreeMap<String, Member>>,
     config: Mutex<Config>,
+    sync_replicas: u32,
     fences: Mutex<Fences>,
 }
 
@@ -104,7 +107,8 @@
 
     async fn serve(options: &Options) -> io::Result<Platform> {
         let groups = options.groups.iter().map(|service| {
-            let group = Group::new(&member_ids(service), options.lag);
+            let group = Group::new(&member_ids(service), options.lag)
+                .with_sync_replicas(options.sync_replicas as usize);
             (service.clone(), Arc::new(Mutex::new(group)))
         });
         let shared = Arc::new(Shared {
@@ -112,6 +116,7 @@
             groups: groups.collect(),
             members: Mutex::default(),
             config: Mutex::default(),
+            sync_replicas: options.sync_replicas,
             fences: Mutex::default(),
         });
         for (service, group) in &shared.groups {
@@ -145,11 +150,10 @@
                     "service": service, "attempts": 2, "max_staleness_ms": 2_500})
             })
         });
-        let services = self
-            .shared
-            .groups
-            .iter()
-            .map(|(service, _)| json!({"name": service, "max_conns": 21, "sync_replicas": 0}));
+        let sync_replicas = self.shared.sync_replicas;
+        let services = self.shared.groups.iter().map(|(service, _)| {
+            json!({"name": service, "max_conns": 21, "sync_replicas": sync_replicas})
+        });
         let config = json!({"version": newest.version, "routes": routes.collect::<Vec<_>>(),
             "services": services.collect::<Vec<_>>(), "limits": {"tx_idle_ms": 3_000}});
         self.shared.store.put(OPERATOR_TABLE, "config", Some(&config));
@@ -230,6 +234,23 @@
         self.shared.set_alive(id, true);
     }
 
+    /// Sets whether a replica receives nothing from its primary.
+    pub fn set_deaf(&self, id: &str, deaf: bool) {
+        for index in 0..self.shared.groups.len() {
+            self.group(index).set_deaf(id, deaf);
+        }
+    }
+
+    /// Address on which a member listens.
+    pub fn member_addr(&self, id: &str) -> Option<SocketAddr> {
+        lock(&self.shared.members).get(id).map(|member| member.addr)
+    }
+
+    /// Sets the address that a member's entry states, for example that of a link to it.
+    pub fn advertise(&self, id: &str, addr: SocketAddr) {
+        self.shared.advertise(id, addr);
+    }
+
     /// Deletes the entry of a member, as when it lapses while the store is away. The member goes
     /// on.
     pub fn drop_entry(&self, id: &str) {
--- a/crates/standins/src/lines/session.rs
+++ b/crates/standins/src/lines/session.rs
@@ -182,6 +182,7 @@
         Refusal::Lagging => Code::Lagging,
         // Never sent: the session of a stopped member ends without an answer.
         Refusal::Stopped => Code::Busy,
+        Refusal::Unconfirmed => Code::InDoubt,
     }
 }
 
--- a/crates/succession/src/failover.rs
+++ b/crates/succession/src/failover.rs
@@ -3,6 +3,7 @@
 use base::{FastMap, Position, Span, Time};
 
 use crate::{
+    acknowledged_end::KnownLogs,
     assessment::Assessment,
     promotion_calls::{PROMOTION_TIMEOUT, PromotionCalls},
     records::PrimaryRecord,
@@ -13,11 +14,14 @@
 /// passed, one of the members that answered is chosen.
 const STATUS_TIMEOUT: Span = Span::from_millis(200);
 /// Time that a planned failover waits for a replica to catch up with the old primary, and
-/// that any failover waits for missing statuses if commits need replicas.
+/// that a failover of a primary in doubt waits for missing statuses.
 const CATCH_UP_TIMEOUT: Span = Span::from_millis(800);
 /// Time for which a candidate is excluded after the platform declined its promotion, or accepted
 /// it without effect.
 const EXCLUDED_FOR: Span = Span::from_millis(1_000);
+/// Time between two planned failovers if the first one has kept the leaving primary, because no
+/// replica had all acknowledged commits.
+const PLANNED_RETRY_DELAY: Span = Span::from_millis(3_000);
 /// How long the entry of a primary must have been missing before it counts as gone: entries that
 /// lapse during an outage of the store are back within two seconds of its end.
 const ENTRY_RETURN_TIMEOUT: Span = Span::from_millis(2_300);
@@ -38,6 +42,8 @@
     /// Whether the platform has been asked to promote a member since the failover started. It may
     /// do so after the members have shown another primary.
     promotion_requested: bool,
+    /// Earliest time of the next planned failover.
+    planned_retry_at: Option<Time>,
     /// The calls that may still take effect, whichever failover they were made in.
     calls: PromotionCalls,
 }
@@ -71,6 +77,9 @@
     pub assessment: Assessment,
     /// Number of replicas that must have received a commit before it is acknowledged.
     pub sync_replicas: u32,
+    /// Number of replicas that are not listed, but may come back with commits that they have
+    /// confirmed.
+    pub departed: usize,
 }
 
 /// A member of a group, the current primary included.
@@ -233,7 +242,9 @@
             (Assessment::Keep, Some(primary)) if self.calls.is_open(now, &primary.id) => {
                 return None;
             }
-            (Assessment::Keep, Some(primary)) if primary.leaving => {
+            (Assessment::Keep, Some(primary))
+                if primary.leaving && self.planned_retry_at.is_none_or(|at| now >= at) =>
+            {
                 (true, "the primary is leaving")
             }
             // No daemon has a connection to it, so none can find it failed.
@@ -294,9 +305,7 @@
                 {
                     return Some(confirmation(primary));
                 }
-                let old_primary = view.members.iter().find(|member| member.id == record.primary);
-                let old_status = old_primary.and_then(|member| status_since(member, since));
-                if let Some(status) = old_status
+                if let Some(status) = primary_status(since, record, view)
                     && status.primary
                     && !record.in_doubt
                     && !step_down_sent
@@ -318,6 +327,8 @@
                     .is_some_and(|status| status.primary && status.asked_at >= *since);
                 if *accepted && is_primary {
                     self.calls.take_effect(to);
+                    let is_kept = record.planned && *to == record.primary;
+                    self.planned_retry_at = is_kept.then(|| now + PLANNED_RETRY_DELAY);
                     let record = PrimaryRecord { primary: to.clone(), ..PrimaryRecord::default() };
                     return Some(Action::Write {
                         record,
@@ -358,8 +369,10 @@
             };
         };
         let member = view.members.iter().find(|member| member.id == *named)?;
-        let is_available = status_since(member, since).is_some() && !self.is_excluded(now, member);
-        is_available.then(|| member.id.clone())
+        let status = status_since(member, since)?;
+        let may_be_promoted = status.received >= acknowledged_end(since, record, view)?
+            && !self.is_excluded(now, member);
+        may_be_promoted.then(|| member.id.clone())
     }
 
     fn is_excluded(&self, now: Time, member: &Candidate) -> bool {
@@ -367,8 +380,9 @@
     }
 
     /// Returns the eligible candidate with the most advanced log; if the present primary is in
-    /// doubt, preferably a primary: the platform changes nothing if it is the present one. `None` while it waits for missing statuses or, in a
-    /// planned failover, for a replica to catch up, and if no eligible candidate has answered.
+    /// doubt, preferably a primary: the platform changes nothing if it is the present one. `None`
+    /// while it waits for missing statuses or, in a planned failover, for a replica to catch up, and
+    /// if no eligible candidate has answered.
     fn choose_candidate(
         &self,
         now: Time,
@@ -376,31 +390,32 @@
         record: &PrimaryRecord,
         view: &FailoverView<'_>,
     ) -> Option<String> {
+        let needs_replicas = view.sync_replicas > 0;
+        let acknowledged_end = acknowledged_end(since, record, view)?;
         let eligible = view.members.iter().filter(|member| {
-            (!member.leaving || record.in_doubt) && !self.is_excluded(now, member)
+            // A leaving member may be the only one that has all acknowledged commits.
+            (!member.leaving || record.in_doubt || needs_replicas) && !self.is_excluded(now, member)
         });
         let eligible: Vec<_> = eligible.collect();
         let others = eligible.iter().filter(|it| record.in_doubt || it.id != record.primary);
         let others: Vec<_> = others.collect();
         let known = others.iter().filter(|member| status_since(member, since).is_some()).count();
         let waited = now.since(since);
-        let may_miss_some = view.sync_replicas == 0 && !record.in_doubt;
-        let enough = known == others.len() || (waited >= STATUS_TIMEOUT && may_miss_some);
+        let enough = known == others.len() || (waited >= STATUS_TIMEOUT && !record.in_doubt);
         if !enough && waited < CATCH_UP_TIMEOUT {
             return None;
         }
         let best = eligible
             .iter()
             .filter_map(|member| Some((member, status_since(member, since)?)))
+            .filter(|(_, status)| status.received >= acknowledged_end)
             .max_by_key(|(member, status)| {
                 let term = (record.in_doubt && status.primary).then_some(status.term);
+                let stays = record.in_doubt || !member.leaving;
                 let is_new = !member.leaving && member.id != record.primary;
-                (term, status.received, is_new, Reverse(&member.id))
+                (stays, term, status.received, is_new, Reverse(&member.id))
             })?;
-        let old_primary = view.members.iter().find(|member| member.id == record.primary);
-        let old_end = old_primary
-            .and_then(|member| status_since(member, since))
-            .map(|status| status.received);
+        let old_end = primary_status(since, record, view).map(|status| status.received);
         if record.planned
             && old_end.is_some_and(|end| best.1.received < end)
             && waited < CATCH_UP_TIMEOUT
@@ -411,6 +426,40 @@
     }
 }
 
+/// Position that no commit exceeds whose loss would break the promise of an acknowledgement; `None`
+/// while too few members have answered to tell. Without replicas that confirm commits there is no
+/// such promise.
+fn acknowledged_end(
+    since: Time,
+    record: &PrimaryRecord,
+    view: &FailoverView<'_>,
+) -> Option<Position> {
+    let replicas = view.sync_replicas as usize;
+    if replicas == 0 {
+        return Some(Position::default());
+    }
+    // If the primary is in doubt, it may be any of the members, and holds the commits as well.
+    let (holders, primary_end) = match record.in_doubt {
+        true => (replicas + 1, None),
+        false => (replicas, primary_status(since, record, view).map(|status| status.received)),
+    };
+    let others = view.members.iter().filter(|it| record.in_doubt || it.id != record.primary);
+    let statuses: Vec<_> = others.map(|member| status_since(member, since)).collect();
+    let ends: Vec<_> = statuses.iter().flatten().map(|status| status.received).collect();
+    let missing = statuses.len() - ends.len() + view.departed;
+    KnownLogs { ends, missing, primary_end }.acknowledged_end(holders)
+}
+
+/// Status of the recorded primary.
+fn primary_status(
+    since: Time,
+    record: &PrimaryRecord,
+    view: &FailoverView<'_>,
+) -> Option<CandidateStatus> {
+    let primary = view.members.iter().find(|member| member.id == record.primary)?;
+    status_since(primary, since)
+}
+
 /// Status of a member if it was asked for at or after `since`.
 fn status_since(member: &Candidate, since: Time) -> Option<CandidateStatus> {
     member.status.filter(|status| status.asked_at >= since)
--- a/crates/succession/src/lib.rs
+++ b/crates/succession/src/lib.rs
@@ -7,6 +7,7 @@
 //! **Architecture invariant:** this crate uses no sockets, clocks or wire formats. The
 //! caller passes times of a clock that keeps running while the VM is suspended.
 
+mod acknowledged_end;
 mod assessment;
 mod carrier_directory;
 mod copy_lease;
--- a/crates/succession/tests/changes.rs
+++ b/crates/succession/tests/changes.rs
@@ -15,6 +15,8 @@
     assessment: Assessment,
     primary_unused: bool,
     is_outdated: bool,
+    sync_replicas: u32,
+    departed: usize,
 }
 
 impl Case {
@@ -33,6 +35,8 @@
             assessment: Assessment::Keep,
             primary_unused: true,
             is_outdated: false,
+            sync_replicas: 0,
+            departed: 0,
         }
     }
 
@@ -40,6 +44,26 @@
         Case { record: Some(record("p", true, planned)), ..Case::new() }
     }
 
+    /// A failover of a group whose commits one replica must have received.
+    fn changing_synchronous(planned: bool) -> Case {
+        Case { sync_replicas: 1, ..Case::changing(planned) }
+    }
+
+    /// Lets time pass while these members answer with their logs, and returns the first that is
+    /// to be promoted.
+    fn promoted_within(&mut self, limit: Span, answers: &[(&str, u64)]) -> Option<String> {
+        let end = self.now + limit;
+        while self.now < end {
+            if let Some(Action::Promote { member }) = self.tick() {
+                return Some(member);
+            }
+            for (id, index) in answers {
+                self.status(id, false, 1, *index);
+            }
+        }
+        None
+    }
+
     /// Advances the time and returns the next action.
     fn tick(&mut self) -> Option<Action> {
         self.now = self.now + Span::from_millis(70);
@@ -50,7 +74,8 @@
             may_promote: true,
             members: &self.members,
             assessment: self.assessment,
-            sync_replicas: 0,
+            sync_replicas: self.sync_replicas,
+            departed: self.departed,
         };
         self.failover.tick(self.now, &view)
     }
@@ -340,6 +365,93 @@
     assert_eq!(case.tick(), Some(Action::Promote { member: "r2".to_owned() }));
 }
 
+/// Guards against the promotion of a replica without the acknowledged commits, because the one that
+/// had confirmed them did not answer the daemon.
+#[test]
+fn no_replica_is_promoted_while_a_silent_one_may_hold_acknowledged_commits() {
+    let mut case = Case::changing_synchronous(false);
+    assert_eq!(case.promoted_within(Span::from_millis(60_000), &[("r1", 40)]), None);
+    let answers = [("r1", 40), ("r2", 90)];
+    assert_eq!(case.promoted_within(Span::from_millis(500), &answers).as_deref(), Some("r2"));
+}
+
+/// Guards against a wait without need: either of two replicas holds each commit that both must
+/// have received.
+#[test]
+fn one_answer_suffices_if_commits_need_both_replicas() {
+    let mut case = Case { sync_replicas: 2, ..Case::changing(false) };
+    let promoted = case.promoted_within(Span::from_millis(1_500), &[("r1", 40)]);
+    assert_eq!(promoted.as_deref(), Some("r1"));
+}
+
+/// Guards against a promotion of the next best replica while the best one is excluded.
+#[test]
+fn an_excluded_replica_with_the_acknowledged_commits_is_waited_for() {
+    let mut case = Case::changing_synchronous(false);
+    let answers = [("r1", 40), ("r2", 90)];
+    assert_eq!(case.promoted_within(Span::from_millis(500), &answers).as_deref(), Some("r2"));
+    case.failover.record_outcome(case.now, "r2", PromotionOutcome::Declined);
+    assert_eq!(case.promoted_within(Span::from_millis(5_000), &answers).as_deref(), Some("r2"));
+}
+
+/// Guards against the same loss in a planned failover, where the old primary says what a replica
+/// must have.
+#[test]
+fn a_planned_failover_promotes_no_replica_that_lacks_acknowledged_commits() {
+    let mut case = Case::changing_synchronous(true);
+    case.members[0].leaving = true;
+    let limit = Span::from_millis(20_000);
+    assert_eq!(case.promoted_within(limit, &[("p", 90), ("r1", 40)]).as_deref(), Some("p"));
+    case.failover.record_outcome(case.now, "p", PromotionOutcome::Accepted);
+    case.tick();
+    case.status("p", true, 2, 90);
+    assert_eq!(written_record(case.tick()), Some(record("p", false, false)));
+    // The replica can catch up before the next attempt.
+    case.record = Some(record("p", false, false));
+    let kept_at = case.now;
+    while written_record(case.tick()).is_none() {}
+    assert!(case.now >= kept_at + Span::from_millis(3_000));
+    let mut case = Case::changing_synchronous(true);
+    case.members[0].leaving = true;
+    let answers = [("p", 90), ("r1", 90)];
+    assert_eq!(case.promoted_within(limit, &answers).as_deref(), Some("r1"));
+}
+
+/// Guards against treating a replica as if it had never confirmed anything, because its entry has
+/// lapsed.
+#[test]
+fn a_replica_that_is_not_listed_any_more_may_hold_acknowledged_commits() {
+    let mut case = Case { departed: 1, ..Case::changing_synchronous(false) };
+    case.members.pop();
+    assert_eq!(case.promoted_within(Span::from_millis(5_000), &[("r1", 40)]), None);
+    case.departed = 0;
+    assert!(case.promoted_within(Span::from_millis(1_500), &[("r1", 40)]).is_some());
+}
+
+/// Guards against a wait for members that cannot catch up: the only one with all commits leaves.
+#[test]
+fn a_leaving_replica_is_promoted_if_the_others_lack_acknowledged_commits() {
+    let mut case = Case::changing_synchronous(false);
+    case.members[2].leaving = true;
+    let answers = [("r1", 40), ("r2", 90)];
+    assert_eq!(case.promoted_within(Span::from_millis(1_500), &answers).as_deref(), Some("r2"));
+    let mut case = Case::changing_synchronous(false);
+    case.members[2].leaving = true;
+    let answers = [("r1", 90), ("r2", 90)];
+    assert_eq!(case.promoted_within(Span::from_millis(1_500), &answers).as_deref(), Some("r1"));
+}
+
+/// Guards against the loss if a store that came back leaves open who the primary was: it and one
+/// replica hold each acknowledged commit.
+#[test]
+fn a_primary_in_doubt_is_replaced_only_by_a_member_with_the_acknowledged_commits() {
+    let doubtful = || Case { record: Some(in_doubt("p")), sync_replicas: 1, ..Case::new() };
+    let limit = Span::from_millis(5_000);
+    assert_eq!(doubtful().promoted_within(limit, &[("r1", 40)]), None);
+    let answers = [("r1", 40), ("r2", 90)];
+    assert_eq!(doubtful().promoted_within(limit, &answers).as_deref(), Some("r2"));
+}
+
 #[test]
 fn the_primary_is_replaced_if_enough_daemons_find_it_failed() {
     let check =
