Order members' entries by the store's versions, and know those of another writer

Also found: such an entry that no member replaces kept the member in use for good.

Cause: the cache ignored a row whose sequence was below that of the cached one, within one era of the store too, where the row's version tells the order; and it took the sequence of any row that states one. Ruled out: a feed that stops (later rows of other members arrive).

Fix: - Within an era of the store, versions alone tell the order. The cache keeps the version at which the value in force was written, which rows passed between daemons state as well: a row of an older copy raises the row's version, not that of the value. Only across eras do a member's own numbers decide. - Only an entry that a member can have written has a revision: it decodes, and its group is in the configuration. The revision of a member is thus known only from its own entries. - An entry of another writer counts as a missing one: the member is dropped after 2.3 s unless it writes its own again, with its next heartbeat. The rows' format between daemons changes: in a rolling upgrade, daemons of different versions do not answer each other's requests for rows and read the store.

Cost for callers: none in the case; a member whose entry is overwritten for longer than 2.3 s is not used.

--- a/crates/entry/src/control/coordination/tests.rs
+++ b/crates/entry/src/control/coordination/tests.rs
@@ -1,5 +1,5 @@
 use adapter::StoreClient;
-use base::{Span, store_version};
+use base::store_version;
 use standins::lines::{Options, Platform};
 
 use super::{CoordinationState, STATE_TABLE};
--- a/crates/entry/src/control/tables.rs
+++ b/crates/entry/src/control/tables.rs
@@ -22,8 +22,12 @@
 
 #[derive(Clone, Debug)]
 struct CachedRow {
+    /// The value in force, with the version of the newest row that was received.
     row: Row,
-    /// Revision of the last value, also of a row that was deleted since.
+    /// Version at which the value in force was written. It is older than that of the row if the
+    /// row of an older copy of the store, which came back, has not replaced the value.
+    written_at: u64,
+    /// Revision of the last value that has one, also if the row was deleted since.
     revision: Option<Revision>,
 }
 
@@ -35,8 +39,28 @@
     pub(crate) table: String,
     /// Version of the store that the rows reflect.
     pub(crate) as_of: u64,
-    /// Key, value and version of each row. Deleted rows are absent.
-    pub(crate) rows: Vec<(String, Vec<u8>, u64)>,
+    /// The rows. Deleted ones are absent.
+    pub(crate) rows: Vec<SnapshotRow>,
+}
+
+/// A cached row, as sent to another daemon.
+#[derive(Clone, Debug)]
+#[derive(serde::Deserialize, serde::Serialize)]
+pub(crate) struct SnapshotRow {
+    key: String,
+    value: Vec<u8>,
+    /// Version of the newest row that the sender has received under the key.
+    version: u64,
+    /// Version at which the value was written.
+    written_at: u64,
+}
+
+/// Rows to merge into the cache.
+#[derive(Debug)]
+pub(crate) struct ReceivedRows {
+    pub(crate) rows: Rows,
+    /// Versions at which values were written, by key, where they differ from those of the rows.
+    written_at: FastMap<String, u64>,
 }
 
 impl TableCache {
@@ -49,38 +73,52 @@
     ///
     /// The rows of an older copy of the store are newer by their versions, but not by their
     /// [revisions](Revision): a value that the cache has and the copy lacks stays in force.
-    pub(crate) fn merge(&mut self, name: &'static str, rows: Rows, complete: bool) -> Vec<Row> {
+    /// `revision_of` returns the revision of a row; `None` if its value is not one that the
+    /// operator or the member of that key has written.
+    pub(crate) fn merge(
+        &mut self,
+        name: &'static str,
+        received: ReceivedRows,
+        complete: bool,
+        revision_of: impl Fn(&Row) -> Option<Revision>,
+    ) -> Vec<Row> {
+        let ReceivedRows { rows, written_at } = received;
         let table = self.tables.entry(name).or_default();
         let mut updates = Vec::new();
         // The configuration is replaced, never deleted.
         if complete && name != OPERATOR_TABLE {
             let listed: FastSet<&str> = rows.rows.iter().map(|row| row.key.as_str()).collect();
-            for CachedRow { row: cached, .. } in table.rows.values_mut() {
-                let missing = !listed.contains(cached.key.as_str());
-                if missing && cached.value.is_some() && cached.version <= rows.version {
-                    *cached = Row { value: None, version: rows.version, ..cached.clone() };
-                    updates.push(cached.clone());
+            for cached in table.rows.values_mut() {
+                let CachedRow { row, written_at, .. } = cached;
+                let missing = !listed.contains(row.key.as_str());
+                if missing && row.value.is_some() && row.version <= rows.version {
+                    *row = Row { value: None, version: rows.version, ..row.clone() };
+                    *written_at = rows.version;
+                    updates.push(row.clone());
                 }
             }
         }
         for row in rows.rows {
-            let revision = Revision::new(name, &row);
+            let revision = revision_of(&row);
+            let written_at = written_at.get(&row.key).copied().unwrap_or(row.version);
             let Some(cached) = table.rows.get_mut(&row.key) else {
                 if row.version > table.as_of {
                     table.newest = table.newest.max(row.version);
-                    table.rows.insert(row.key.clone(), CachedRow { row: row.clone(), revision });
+                    let cached = CachedRow { row: row.clone(), written_at, revision };
+                    table.rows.insert(row.key.clone(), cached);
                     updates.push(row);
                 }
                 continue;
             };
             let version = cached.row.version.max(row.version);
-            let is_superseded = cached.supersedes(&row, revision);
+            let is_superseded = cached.supersedes(&row, written_at, revision);
             if row.version > cached.row.version {
                 table.newest = table.newest.max(row.version);
             }
             cached.row.version = version;
             if !is_superseded {
                 cached.row.value.clone_from(&row.value);
+                cached.written_at = written_at;
                 cached.revision = revision.or(cached.revision);
                 updates.push(cached.row.clone());
             }
@@ -117,8 +155,13 @@
             rows: table
                 .rows
                 .values()
-                .filter_map(|CachedRow { row, .. }| {
-                    Some((row.key.clone(), row.value.clone()?, row.version))
+                .filter_map(|CachedRow { row, written_at, .. }| {
+                    Some(SnapshotRow {
+                        key: row.key.clone(),
+                        value: row.value.clone()?,
+                        version: row.version,
+                        written_at: *written_at,
+                    })
                 })
                 .collect(),
         };
@@ -128,8 +171,13 @@
 }
 
 impl CachedRow {
-    /// Whether the cached row stays in force when `row` is received.
-    fn supersedes(&self, row: &Row, revision: Option<Revision>) -> bool {
+    /// Whether the cached row stays in force when `row` is received, whose value was written at
+    /// `written_at`. Within an era of the store, its versions tell the order, whatever the values
+    /// state.
+    fn supersedes(&self, row: &Row, written_at: u64, revision: Option<Revision>) -> bool {
+        if store_version::era(written_at) == store_version::era(self.written_at) {
+            return written_at <= self.written_at;
+        }
         let is_older = row.version <= self.row.version;
         let (Some(known), Some(received)) = (self.revision, revision) else { return is_older };
         let is_deleted = self.row.value.is_none();
@@ -152,12 +200,22 @@
     }
 }
 
-impl From<TableSnapshot> for Rows {
-    fn from(snapshot: TableSnapshot) -> Rows {
+impl From<Rows> for ReceivedRows {
+    fn from(rows: Rows) -> ReceivedRows {
+        ReceivedRows { rows, written_at: FastMap::default() }
+    }
+}
+
+impl From<TableSnapshot> for ReceivedRows {
+    fn from(snapshot: TableSnapshot) -> ReceivedRows {
+        let held = snapshot.rows.iter().filter(|row| row.written_at != row.version);
+        let written_at = held.map(|row| (row.key.clone(), row.written_at)).collect();
         let rows = snapshot.rows.into_iter();
-        let rows = rows.map(|(key, value, version)| Row { key, value: Some(value), version });
+        let rows =
+            rows.map(|row| Row { key: row.key, value: Some(row.value), version: row.version });
         // The store's clock is known only from the store itself.
-        Rows { rows: rows.collect(), version: snapshot.as_of, clock_ms: 0 }
+        let rows = Rows { rows: rows.collect(), version: snapshot.as_of, clock_ms: 0 };
+        ReceivedRows { rows, written_at }
     }
 }
 
--- a/crates/entry/src/control/task.rs
+++ b/crates/entry/src/control/task.rs
@@ -277,7 +277,7 @@
                     _ => {}
                 }
                 let (era, store_ms) = (store_version::era(rows.version), rows.clock_ms);
-                self.apply_rows(table, rows, complete);
+                self.apply_rows(table, rows.into(), complete);
                 // A store that has lost writes says nothing about them.
                 if let Some(copied) = rows::copied(table)
                     && self.coordination.is_settled(era, store_ms)
--- a/crates/entry/src/control/task/rows.rs
+++ b/crates/entry/src/control/task/rows.rs
@@ -3,7 +3,7 @@
 use std::{net::SocketAddr, sync::Arc};
 
 use adapter::{
-    CONFIG_KEY, Config, MEMBERS_TABLE, MemberEntry, MemberState, OPERATOR_TABLE, Row, Rows,
+    CONFIG_KEY, Config, MEMBERS_TABLE, MemberEntry, MemberState, OPERATOR_TABLE, Revision, Row,
 };
 use base::{FastMap, MemberId, Span, Time, store_version};
 use pool::{MemberSpec, Shares};
@@ -14,7 +14,7 @@
     clock,
     control::{
         coordination::{RecordOrigin, STATE_TABLE, StateChange},
-        tables::TableSnapshot,
+        tables::{ReceivedRows, TableSnapshot},
     },
     messages::Order,
     shared::Counter,
@@ -45,17 +45,23 @@
                 .into_iter()
                 .find(|table| *table == snapshot.table);
             if let Some(table) = known {
-                self.apply_rows(table, Rows::from(snapshot), true);
+                self.apply_rows(table, ReceivedRows::from(snapshot), true);
             }
         }
     }
 
-    pub(super) fn apply_rows(&mut self, table: &'static str, rows: Rows, complete: bool) {
+    pub(super) fn apply_rows(
+        &mut self,
+        table: &'static str,
+        received: ReceivedRows,
+        complete: bool,
+    ) {
+        let rows = &received.rows;
         let era = store_version::era(rows.version);
         if table == STATE_TABLE && era > self.coordination.era {
             self.begin_era(era);
         }
-        let outdated = self.tables.outdated(table, &rows);
+        let outdated = self.tables.outdated(table, rows);
         if outdated > 0 {
             self.shared.count(Counter::OutdatedRows);
             logs::event(
@@ -64,7 +70,16 @@
                     "version": rows.version, "newest": self.tables.newest(table)}),
             );
         }
-        let updates = self.tables.merge(table, rows, complete);
+        let config = self.config.clone();
+        let revision_of = |row: &Row| match table {
+            OPERATOR_TABLE => Revision::of_config(row),
+            MEMBERS_TABLE => {
+                let entry = MemberEntry::decode(&row.key, row.value.as_deref()?)?;
+                names_group(config.as_deref(), &entry).then(|| Revision::of_entry(&entry))
+            }
+            _ => None,
+        };
+        let updates = self.tables.merge(table, received, complete, revision_of);
         if !updates.is_empty() {
             self.behind_since = None;
         }
@@ -136,18 +151,29 @@
         }
         let now = clock::now();
         for row in updates {
-            match &row.value {
-                Some(bytes) => match MemberEntry::decode(&row.key, bytes) {
-                    Some(entry) => {
-                        self.departed.remove(&row.key);
-                        self.members.insert(row.key.clone(), Member { entry, missing_since: None });
-                    }
-                    None => logs::warn(&format!(
-                        "ignoring member entry {:?}: a field is missing, invalid or names no known value",
-                        row.key
-                    )),
-                },
-                None => self.mark_missing(&row.key, now),
+            let Some(bytes) = &row.value else {
+                self.mark_missing(&row.key, now);
+                continue;
+            };
+            let entry = MemberEntry::decode(&row.key, bytes);
+            // An entry that comes before the configuration with its group is kept for it.
+            let entry = entry.filter(|entry| {
+                names_group(self.config.as_deref(), entry) || !self.members.contains_key(&row.key)
+            });
+            match entry {
+                Some(entry) => {
+                    self.departed.remove(&row.key);
+                    self.members.insert(row.key.clone(), Member { entry, missing_since: None });
+                }
+                // The member, if it lives, soon writes its own entry again.
+                None => {
+                    logs::event(
+                        "entry of another writer",
+                        &serde_json::json!({"key": row.key, "version": row.version,
+                            "known_member": self.members.contains_key(&row.key)}),
+                    );
+                    self.mark_missing(&row.key, now);
+                }
             }
         }
         self.send_members();
@@ -325,6 +351,11 @@
     }
 }
 
+/// Whether an entry belongs to a group of the configuration, as far as it is known.
+fn names_group(config: Option<&Config>, entry: &MemberEntry) -> bool {
+    config.is_none_or(|config| config.groups.iter().any(|group| group.name == entry.group))
+}
+
 /// The copy that a table of the store is kept in; `None` for the state table, whose rows are
 /// relied on only under a grant.
 pub(super) fn copied(table: &str) -> Option<Copied> {
