Follow the members beside rows that cannot be read

What operators of similar systems saw: daemons that end, or stop to follow the list of members, because of one odd entry. Here: with more than 500 rows, a list whose page ends at a key with '&' or '%' was read from the same row again and again, for ever, and the daemon never served (test: 'a first write: not within 15s'). Deep nesting, numbers too large and ports out of range were refused by the decoder before, and ended nothing: shown now by a test. A value that is no base64 failed the whole list.

PostgreSQL edition: a row of its table service that cannot be decoded is left out and logged; before, the whole list failed, and with it all later changes.

Tests, failed before: members_are_followed_beside_entries_that_cannot_be_read (process). New beside it: rows_are_read_beside_those_that_cannot_be_decoded.

--- a/crates/entry/tests/entries.rs
+++ b/crates/entry/tests/entries.rs
@@ -11,6 +11,8 @@
 const MEMBERS_TABLE: &str = "servers";
 /// Interval at which members write their entries.
 const HEARTBEAT: Duration = Duration::from_millis(1_200);
+/// Rows that the store returns in one response.
+const PAGE: usize = 500;
 
 /// The entry that a member has written last.
 fn entry(platform: &Platform, id: &str) -> Value {
@@ -117,3 +119,32 @@
         (0..100).all(|_| reader(&mut session).as_deref() != Some(member.as_str()))
     });
 }
+
+/// Guards against daemons that end, or stop to follow the members, because of a row that cannot be
+/// read or whose key has a meaning in a query.
+#[test]
+fn members_are_followed_beside_entries_that_cannot_be_read() {
+    let platform = start_platform();
+    let own = entry(&platform, "svc1-m1");
+    for (number, foreign) in foreign_entries(&own).into_iter().enumerate() {
+        platform.put_row(MEMBERS_TABLE, &format!("other-{number}"), &foreign);
+    }
+    // They stand before those of the members, and the pages of a list end at some of them.
+    for number in 0..2 * PAGE {
+        platform.put_row(MEMBERS_TABLE, &format!("a&b=%41 #+\u{fc}{number}"), b"{}");
+    }
+    let mut daemon = Daemon::start("d1", "127.0.4.3", 0.25, platform.addr);
+    daemon.wait_ready();
+    wait_for_writes(&daemon);
+    let mut session = client(&daemon, "lookups");
+    let member = reading_replica(&platform, &mut session);
+    let drained = with(&entry(&platform, &member), &json!({"state": "draining", "sequence": 2}));
+    platform.put_row(MEMBERS_TABLE, &member, &drained);
+    thread::sleep(HEARTBEAT);
+    for _ in 0..200 {
+        assert_ne!(reader(&mut session).as_deref(), Some(member.as_str()));
+    }
+    daemon.terminate();
+    drop(session);
+    assert!(daemon.wait(), "the daemon did not end by itself before");
+}
--- a/crates/platform/src/client.rs
+++ b/crates/platform/src/client.rs
@@ -9,7 +9,7 @@
 
 use crate::{
     error::PlatformError,
-    row::{Condition, Row, Rows, Write},
+    row::{self, Condition, Row, Rows, Write},
     vm::VmRecord,
 };
 
@@ -51,7 +51,7 @@
             Err(CallError::HistoryGone) => (self.store.rows(TABLE).await?, true),
             changed => (changed?, since == 0),
         };
-        let rows = changed.rows.into_iter().map(Row::try_from).collect::<Result<_, _>>()?;
+        let rows = row::decode_readable(changed.rows, Row::try_from);
         Ok(Rows { revision: changed.version, rows, complete })
     }
 
@@ -140,7 +140,7 @@
     /// Reads the VM list, which may be out of date.
     pub async fn vms(&self) -> Result<Vec<VmRecord>, PlatformError> {
         let rows = self.store.rows(VM_TABLE).await?.rows;
-        rows.into_iter().map(|row| Row::try_from(row)?.record()).collect()
+        Ok(row::decode_readable(rows, |row| Row::try_from(row)?.record()))
     }
 }
 
--- a/crates/platform/src/row.rs
+++ b/crates/platform/src/row.rs
@@ -63,3 +63,23 @@
         Ok(serde_json::from_value(self.value.clone())?)
     }
 }
+
+/// Decodes rows and leaves out those that cannot be decoded, which are logged: one that another
+/// writer has left must not hide the others.
+pub(crate) fn decode_readable<T>(
+    rows: Vec<adapter::Row>,
+    decode: impl Fn(adapter::Row) -> Result<T, PlatformError>,
+) -> Vec<T> {
+    let mut decoded = Vec::with_capacity(rows.len());
+    for row in rows {
+        let key = row.key.clone();
+        match decode(row) {
+            Ok(row) => decoded.push(row),
+            Err(error) => logs::warn(&format!("ignoring row {key:?}: {error}")),
+        }
+    }
+    decoded
+}
+
+#[cfg(test)]
+mod tests;
