--- a/crates/entry/tests/changes_of_primary.rs
+++ b/crates/entry/tests/changes_of_primary.rs
@@ -10,7 +10,9 @@
 
 use serde_json::Value;
 use standins::lines::{Options, Platform};
-use support::{CONFIG_TIMEOUT, Daemon, Link, client, eventually, wait_for_writes};
+use support::{
+    CONFIG_TIMEOUT, Daemon, Link, client, eventually, wait_for_answers, wait_for_writes,
+};
 
 const STATE_TABLE: &str = "corianderwharf";
 /// Time within which a daemon applies a changed row, well below the idle limit of transactions.
@@ -153,6 +155,29 @@
     assert_eq!(platform.promotions(1), 1);
 }
 
+/// Guards against a failover call of a killed holder that arrives after its successor's.
+#[test]
+fn a_failover_call_of_a_killed_holder_is_not_delivered_after_its_successors() {
+    let platform = start_two_groups(two_databases());
+    let (holder, link) = start_behind_link(&platform, "d1", "127.0.3.4");
+    // Two, so that the others are a majority without the holder.
+    let others = [("d2", "127.0.3.5"), ("d3", "127.0.3.6")]
+        .map(|(name, ip)| Daemon::start(name, ip, 0.25, platform.addr));
+    for other in &others {
+        other.wait_ready();
+    }
+    wait_for_answers(&[&holder, &others[0], &others[1]]);
+    link.cut();
+    platform.crash("svc2-m1");
+    write_for(CUT / 2, others[0].callers, "orders-2");
+    holder.kill();
+    wait_for_write(others[0].callers, "orders-2");
+    link.heal();
+    thread::sleep(RECORD_TIMEOUT);
+    assert_eq!(platform.fence_violations(), [""; 0]);
+    assert_eq!(platform.promotions(1), 1);
+}
+
 /// Guards against the promotion of a replica that lacks acknowledged commits, while the one that has
 /// confirmed them cannot be reached by the daemon.
 #[test]
