Pass a newer configuration between carriers within a tenth of a second

Cause: a carrier asked another one for rows that it lacks only with a heartbeat, up to 0.25 s after it was in force there, and then waited 0.25 s (ROW_SYNC_DELAY) for the store. Fix: a carrier sends heartbeats as soon as a configuration is in force there; one that hears of a newer one asks for this table alone after 50 ms, at most every 0.1 s, of another carrier if the first does not deliver. Ruled out: passing the version on with each statement, which needs another message in the line protocol and does not help a carrier that lacks the configuration.

Cost: one round of heartbeats for each change of the configuration; a copy of the configuration between daemons where the store is later than 50 ms.

--- a/crates/entry/src/control/task.rs
+++ b/crates/entry/src/control/task.rs
@@ -98,6 +98,8 @@
     last_confirmations: FastMap<&'static str, Time>,
     /// When this daemon last tried to register as a carrier.
     last_registration: Option<Time>,
+    /// A configuration that another carrier has and this one lacks.
+    newer_config: Option<heartbeats::NewerConfig>,
     /// Since when another daemon has had rows that are missing here.
     behind_since: Option<Time>,
     last_row_sync: Option<Time>,
@@ -239,6 +241,7 @@
             last_store_poll: None,
             last_confirmations: FastMap::default(),
             last_registration: None,
+            newer_config: None,
             behind_since: None,
             last_row_sync: None,
             vacant_since: None,
@@ -359,6 +362,7 @@
         }
         self.poll_store(now);
         self.poll_copies(now);
+        self.request_newer_config(now);
         self.register_carrier(now);
         self.expire_carriers(now);
         self.write_primaries_again(now);
--- a/crates/entry/src/control/task/heartbeats.rs
+++ b/crates/entry/src/control/task/heartbeats.rs
@@ -34,6 +34,13 @@
 /// it. The store notifies both daemons within about 10 ms of each other.
 const ROW_SYNC_DELAY: Span = Span::from_millis(250);
 
+/// How long a configuration that another daemon has may be missing here before it is requested.
+/// Together with a tick and the request, well below the quarter of a second after which a daemon
+/// must not run requests by an older configuration any more.
+const CONFIG_SYNC_DELAY: Span = Span::from_millis(50);
+/// Minimum interval between requests for the configuration.
+const CONFIG_SYNC_INTERVAL: Span = Span::from_millis(100);
+
 /// Minimum interval between two calls that ask the store to confirm the configuration while
 /// sessions wait for it. The calls that are unanswered at a time are limited by it and by their
 /// time limit.
@@ -46,6 +53,17 @@
     OfTable(&'static str),
 }
 
+/// A configuration that another carrier has and this one lacks.
+#[derive(Clone, Debug)]
+pub(super) struct NewerConfig {
+    version: u64,
+    /// VM of the other carrier.
+    vm: String,
+    /// When this daemon first heard of a newer configuration than its own.
+    since: Time,
+    last_request: Option<Time>,
+}
+
 impl Control {
     pub(super) fn send_heartbeats(&mut self, now: Time) {
         self.last_heartbeat = Some(now);
@@ -111,9 +129,66 @@
         if let Some(asked_at) = asked_at {
             self.grant.peer_answered(&heartbeat.from, asked_at, heartbeat.version);
         }
+        self.observe_config_version(now, heartbeat);
         self.request_missing_rows(now, heartbeat);
     }
 
+    /// Notes that another carrier has a newer configuration.
+    fn observe_config_version(&mut self, now: Time, heartbeat: &Heartbeat) {
+        let version = heartbeat.newest[Copied::Config as usize];
+        if !self.carries || !heartbeat.carries || version <= self.config_version() {
+            return;
+        }
+        let vm = heartbeat.from.clone();
+        match &mut self.newer_config {
+            Some(newer) if newer.version > version => {}
+            // The carrier that was named first has not delivered it so far.
+            Some(newer) if newer.version < version || newer.last_request.is_some() => {
+                (newer.version, newer.vm) = (version, vm);
+            }
+            Some(_) => {}
+            None => {
+                self.newer_config =
+                    Some(NewerConfig { version, vm, since: now, last_request: None });
+            }
+        }
+    }
+
+    /// Requests a newer configuration from the carrier that has it, if the store has not delivered
+    /// it by now. Sessions that are relayed to both carriers must not fall back to an older one.
+    pub(super) fn request_newer_config(&mut self, now: Time) {
+        let version = self.config_version();
+        let Some(newer) = self.newer_config.as_mut().filter(|newer| newer.version > version) else {
+            self.newer_config = None;
+            return;
+        };
+        let recently = newer.last_request.is_some_and(|at| now.since(at) < CONFIG_SYNC_INTERVAL);
+        if now.since(newer.since) < CONFIG_SYNC_DELAY || recently {
+            return;
+        }
+        newer.last_request = Some(now);
+        let Some(peer) = self.peers.peers.get(&newer.vm) else {
+            self.newer_config = None;
+            return;
+        };
+        logs::event(
+            "requesting newer configuration",
+            &serde_json::json!({"from": newer.vm, "theirs": newer.version, "own": version,
+                "behind_ms": now.since(newer.since).as_millis()}),
+        );
+        self.request_rows(peer.addr, Some(OPERATOR_TABLE));
+    }
+
+    fn request_rows(&self, addr: SocketAddr, table: Option<&'static str>) {
+        let events = self.events.clone();
+        tokio::spawn(async move {
+            if let Some(snapshots) = row_sync::rows(addr, table).await {
+                // Fails only during shutdown.
+                let _ = events.unbounded_send(Event::PeerRows(snapshots));
+            }
+        });
+    }
+
     /// Requests rows that a carrier has and this daemon lacks.
     pub(super) fn request_missing_rows(&mut self, now: Time, heartbeat: &Heartbeat) {
         let Some(missing) = self.missing_rows(now, heartbeat) else { return };
@@ -138,13 +213,7 @@
             MissingRows::OfAnyTable => None,
             MissingRows::OfTable(table) => Some(table),
         };
-        let (addr, events) = (peer.addr, self.events.clone());
-        tokio::spawn(async move {
-            if let Some(snapshots) = row_sync::rows(addr, table).await {
-                // Fails only during shutdown.
-                let _ = events.unbounded_send(Event::PeerRows(snapshots));
-            }
-        });
+        self.request_rows(peer.addr, table);
     }
 
     /// The rows that the sender of a heartbeat has and this daemon lacks. A carrier needs all
--- a/crates/entry/src/control/task/rows.rs
+++ b/crates/entry/src/control/task/rows.rs
@@ -116,6 +116,10 @@
         {
             self.copies.store_answered(Copied::Config, asked_at);
         }
+        // A carrier that the store does not reach learns of the configuration by it.
+        if self.carries {
+            self.send_heartbeats(clock::now());
+        }
     }
 
     /// Version of the newest configuration that this daemon has received; 0 if there is none.
