Put a primary record right that the members contradict

Fix: if the members' own entries name another primary than the record for 2 s, the holder asks the members, and starts a failover in doubt, in which they show who the primary is, only if the recorded one is none and another one is. Entries alone change nothing, since those of members without the store are outdated. Cost: a round of status queries every 2 s as long as entries contradict the record; no interruption without proof. Tests: a_record_that_the_members_contradict_is_put_right failed before (no action); entries_alone_do_not_make_a_record_doubtful.

--- a/crates/succession/src/failover.rs
+++ b/crates/succession/src/failover.rs
@@ -22,6 +22,9 @@
 /// Time between two planned failovers if the first one has kept the leaving primary, because no
 /// replica had all acknowledged commits.
 const PLANNED_RETRY_DELAY: Span = Span::from_millis(3_000);
+/// How long the members' own entries must contradict the record before the members are asked, and
+/// time between two such questions. Members report a change of role at once.
+const CONTRADICTION_TIMEOUT: Span = Span::from_millis(2_000);
 /// How long the entry of a primary must have been missing before it counts as gone: entries that
 /// lapse during an outage of the store are back within two seconds of its end.
 const ENTRY_RETURN_TIMEOUT: Span = Span::from_millis(2_300);
@@ -42,6 +45,9 @@
     /// Whether the platform has been asked to promote a member since the failover started. It may
     /// do so after the members have shown another primary.
     promotion_requested: bool,
+    /// Since when the members' entries have named another primary than the record, or when the
+    /// members were last asked about it.
+    contradicted_since: Option<Time>,
     /// Earliest time of the next planned failover.
     planned_retry_at: Option<Time>,
     /// The calls that may still take effect, whichever failover they were made in.
@@ -235,6 +241,9 @@
         if !other {
             return None;
         }
+        if let Some(action) = self.check_record(now, record, view) {
+            return Some(action);
+        }
         let is_gone = missing_since.is_some_and(|at| now.since(at) >= ENTRY_RETURN_TIMEOUT);
         let (planned, reason) = match (view.assessment, primary) {
             (Assessment::Replace, _) => (false, "enough daemons find the primary failed"),
@@ -260,6 +269,43 @@
         Some(Action::Write { record, reason })
     }
 
+    /// Checks the record against the members if their own entries name another primary: the platform
+    /// may have promoted it later than it can be expected to. Asks them first, since entries can be
+    /// outdated, and starts a failover only if their answers contradict the record, too.
+    fn check_record(
+        &mut self,
+        now: Time,
+        record: &PrimaryRecord,
+        view: &FailoverView<'_>,
+    ) -> Option<Action> {
+        let registers = |is_recorded: bool| {
+            let mut members = view.members.iter();
+            members.any(|it| (it.id == record.primary) == is_recorded && it.registers_as_primary)
+        };
+        if !view.may_promote || registers(true) || !registers(false) {
+            self.contradicted_since = None;
+            return None;
+        }
+        let since = *self.contradicted_since.get_or_insert(now);
+        let shown = view.members.iter().filter_map(|it| Some((it, status_since(it, since)?)));
+        let newest = shown.max_by_key(|(_, status)| (status.term, status.primary));
+        if let (Some(recorded), Some((member, status))) =
+            (primary_status(since, record, view), newest)
+            && !recorded.primary
+            && status.primary
+            && member.id != record.primary
+        {
+            self.contradicted_since = None;
+            let record = in_doubt_record(record.primary.clone());
+            return Some(Action::Write { record, reason: "another member is primary" });
+        }
+        if now.since(since) < CONTRADICTION_TIMEOUT {
+            return None;
+        }
+        self.contradicted_since = Some(now);
+        Some(Action::QueryStatus)
+    }
+
     /// Asks the members who the primary is. If they show it, nothing has to change, and no carrier
     /// has to stop using it.
     fn identify_primary(&mut self, now: Time, view: &FailoverView<'_>) -> Option<Action> {
@@ -498,7 +544,11 @@
         Some(record) => record.primary.clone(),
         None => view.members.iter().max_by_key(|member| member.registers_as_primary)?.id.clone(),
     };
-    let record =
-        PrimaryRecord { primary, changing: true, in_doubt: true, ..PrimaryRecord::default() };
+    let record = in_doubt_record(primary);
     Some(Action::Write { record, reason: "the store may have lost a later record" })
 }
+
+/// The record of a failover in which the members show who the primary is.
+fn in_doubt_record(primary: String) -> PrimaryRecord {
+    PrimaryRecord { primary, changing: true, in_doubt: true, ..PrimaryRecord::default() }
+}
--- a/crates/succession/tests/changes.rs
+++ b/crates/succession/tests/changes.rs
@@ -341,6 +341,43 @@
     assert!(case.now >= inherited_at + LATE_CALL_MAX);
 }
 
+/// Guards against a record that stays wrong for good after the platform has carried out a call late:
+/// all writes were refused by the recorded primary.
+#[test]
+fn a_record_that_the_members_contradict_is_put_right() {
+    let mut case = Case { record: Some(record("r1", false, false)), ..Case::new() };
+    while case.tick() != Some(Action::QueryStatus) {}
+    let contradict = |case: &mut Case| {
+        case.status("p", true, 3, 50);
+        case.status("r1", false, 3, 50);
+        case.status("r2", false, 3, 50);
+    };
+    contradict(&mut case);
+    assert_eq!(written_record(case.tick()), Some(in_doubt("r1")));
+    case.record = Some(in_doubt("r1"));
+    assert_eq!(case.tick(), Some(Action::QueryStatus));
+    contradict(&mut case);
+    assert_eq!(written_record(case.tick()), Some(record("p", false, false)));
+}
+
+/// Guards against interruptions because of entries that are outdated, as of members which cannot
+/// reach the store.
+#[test]
+fn entries_alone_do_not_make_a_record_doubtful() {
+    let mut case = Case { record: Some(record("r1", false, false)), ..Case::new() };
+    let mut questions = 0;
+    for _ in 0..200 {
+        match case.tick() {
+            None => {}
+            Some(Action::QueryStatus) => questions += 1,
+            action => panic!("{action:?}"),
+        }
+        case.status("r1", true, 2, 50);
+        case.status("r2", false, 2, 50);
+    }
+    assert!((5..=7).contains(&questions), "{questions} questions in 14 s");
+}
+
 /// Guards against a planned failover that an unanswered call for the present primary undoes.
 #[test]
 fn a_primary_that_a_call_may_promote_again_is_not_replaced_yet() {
