Soak: moving databases, disturbed failover calls, entries of another writer, replicas that receive nothing

The faults of the review could not be made by the soak: a database belonged to one group for good, failover calls shared the link of the store, members were the only writers of entries, and replicas received everything.

--- a/crates/soak/src/deployment.rs
+++ b/crates/soak/src/deployment.rs
@@ -32,10 +32,12 @@
     groups: usize,
     /// Whether the newest configuration contains the extra database.
     has_extra_database: bool,
+    /// Index of the group that the moving database belongs to.
+    moving_group: usize,
     is_store_down: bool,
 }
 
-/// A daemon's process, its files, and its link to the platform (store and cloud API).
+/// A daemon's process, its files, and its links to the platform's store and failover API.
 pub(crate) struct Daemon {
     process: Option<Process>,
     program: PathBuf,
@@ -43,7 +45,8 @@
     log: PathBuf,
     /// Address of the listener for callers.
     pub(crate) callers: SocketAddr,
-    platform_link: FaultProxy,
+    store_link: FaultProxy,
+    failover_link: FaultProxy,
     /// Whether the process is suspended.
     is_suspended: bool,
     /// Number of active faults that keep the daemon stopped.
@@ -60,7 +63,9 @@
         let groups = options.groups.to_string();
         let lag = DEFAULT_LAG_MS.to_string();
         let program = options.program_dir.join("corianderwharf-lines-standin");
-        let mut standin = Process::start_piped(&program, &["--groups", &groups, "--lag-ms", &lag])?;
+        let sync_replicas = options.sync_replicas().to_string();
+        let args = ["--groups", &groups, "--lag-ms", &lag, "--sync-replicas", &sync_replicas];
+        let mut standin = Process::start_piped(&program, &args)?;
         let platform = read_platform_addr(&mut standin)?;
         let http = reqwest::Client::builder().no_proxy().build()?;
         let members: Vec<(String, SocketAddr)> =
@@ -73,6 +78,7 @@
             members: Vec::new(),
             groups: options.groups,
             has_extra_database: false,
+            moving_group: 0,
             is_store_down: false,
         };
         for (id, addr) in members {
@@ -80,6 +86,7 @@
             deployment.steer(&TestCmd::Advertise(id.clone(), proxy.addr)).await?;
             deployment.members.push((id, proxy));
         }
+        deployment.configure().await?;
         for index in 0..options.daemons {
             let daemon = Daemon::new(options, index, platform).await?;
             deployment.daemons.push(daemon);
@@ -111,6 +118,11 @@
         self.query("fence-violations").await
     }
 
+    /// Name of the database that moves between groups.
+    pub(crate) fn moving_database(&self) -> &'static str {
+        "orders-moving"
+    }
+
     /// Name of the extra database, and whether the newest configuration contains it.
     pub(crate) fn extra_database(&self) -> (&'static str, bool) {
         ("extra", self.has_extra_database)
@@ -138,7 +150,10 @@
             Fault::Terminate(daemon) => self.daemons[daemon].terminate()?,
             Fault::Hangup(daemon) => self.daemons[daemon].signal(Signal::HUP)?,
             Fault::StoreLink(daemon, mode) => {
-                self.daemons[daemon].platform_link.set(LinkFault::new(mode));
+                self.daemons[daemon].set_platform_fault(LinkFault::new(mode));
+            }
+            Fault::FailoverLink(daemon, mode) => {
+                self.daemons[daemon].failover_link.set(LinkFault::new(mode));
             }
             Fault::MemberLink(member, link_fault) => self.members[member].1.set(link_fault),
             Fault::PrimaryLink(group, link_fault) => {
@@ -151,7 +166,7 @@
             Fault::Partition(group, daemons) => {
                 self.isolate_primary(group, daemons).await?;
                 for daemon in self.selected(daemons) {
-                    daemon.platform_link.set(LinkFault::new(Mode::Silent));
+                    daemon.set_platform_fault(LinkFault::new(Mode::Silent));
                 }
             }
             Fault::MemberCrash(member) => {
@@ -168,12 +183,15 @@
             Fault::Lag(millis) => self.steer(&TestCmd::LagMs(millis)).await?,
             Fault::Configure => {
                 self.has_extra_database = !self.has_extra_database;
-                let mut databases: Vec<_> =
-                    (0..self.groups).map(StandInOptions::default_databases).collect();
-                if self.has_extra_database {
-                    databases[0].push("extra".to_owned());
-                }
-                self.steer(&TestCmd::Configure(databases)).await?;
+                self.configure().await?;
+            }
+            Fault::MoveDatabase => {
+                self.moving_group = (self.moving_group + 1) % self.groups;
+                self.configure().await?;
+            }
+            Fault::ForeignEntry(member) => self.steer_entry(member, true).await?,
+            Fault::Deaf(member) => {
+                self.steer(&TestCmd::Deaf(self.members[member].0.clone(), true)).await?;
             }
         }
         Ok(())
@@ -184,7 +202,14 @@
             Fault::Kill(daemon) => self.daemons[daemon].end_kill(),
             Fault::KillAll => self.daemons.iter_mut().for_each(Daemon::end_kill),
             Fault::Pause(daemon) => self.daemons[daemon].signal(Signal::CONT)?,
-            Fault::StoreLink(daemon, _) => self.daemons[daemon].platform_link.set(LinkFault::NONE),
+            Fault::StoreLink(daemon, _) => self.daemons[daemon].set_platform_fault(LinkFault::NONE),
+            Fault::FailoverLink(daemon, _) => {
+                self.daemons[daemon].failover_link.set(LinkFault::NONE);
+            }
+            Fault::ForeignEntry(member) => self.steer_entry(member, false).await?,
+            Fault::Deaf(member) => {
+                self.steer(&TestCmd::Deaf(self.members[member].0.clone(), false)).await?;
+            }
             Fault::MemberLink(member, _) => self.members[member].1.set(LinkFault::NONE),
             Fault::PrimaryLink(..) => self.clear_member_link_faults(),
             Fault::Freeze(group, daemons) => {
@@ -196,7 +221,7 @@
                 self.clear_member_link_faults();
                 self.steer(&TestCmd::Part(group, false)).await?;
                 for daemon in self.selected(daemons) {
-                    daemon.platform_link.set(LinkFault::NONE);
+                    daemon.set_platform_fault(LinkFault::NONE);
                 }
             }
             Fault::MemberCrash(member) => {
@@ -216,11 +241,31 @@
                 self.steer(&TestCmd::RestoreStore(rewrite_after_ms)).await?;
             }
             Fault::Lag(_) => self.steer(&TestCmd::LagMs(DEFAULT_LAG_MS)).await?,
-            Fault::Terminate(_) | Fault::Hangup(_) | Fault::Forget | Fault::Configure => {}
+            Fault::Terminate(_)
+            | Fault::Hangup(_)
+            | Fault::Forget
+            | Fault::Configure
+            | Fault::MoveDatabase => {}
         }
         Ok(())
     }
 
+    /// Applies the present databases of the groups.
+    async fn configure(&self) -> Result<(), SoakError> {
+        let mut databases: Vec<_> =
+            (0..self.groups).map(StandInOptions::default_databases).collect();
+        if self.has_extra_database {
+            databases[0].push(self.extra_database().0.to_owned());
+        }
+        databases[self.moving_group].push(self.moving_database().to_owned());
+        self.steer(&TestCmd::Configure(databases)).await
+    }
+
+    async fn steer_entry(&self, member: usize, is_foreign: bool) -> Result<(), SoakError> {
+        let id = self.members[member].0.clone();
+        self.steer(&TestCmd::ForeignEntry(id, is_foreign)).await
+    }
+
     async fn set_primary_link_fault(
         &self,
         group: usize,
@@ -294,7 +339,8 @@
         let peer_port = peers.local_addr()?.port();
         drop(UdpSocket::bind((ip, peer_port))?);
         let (callers, readiness) = (callers.local_addr()?, readiness.local_addr()?);
-        let platform_link = FaultProxy::start(platform).await?;
+        let store_link = FaultProxy::start(platform).await?;
+        let failover_link = FaultProxy::start(platform).await?;
         let name = format!("d{index}");
         let text = format!(
             "node_name = \"{name}\"\nzone = \"z{}\"\nport_range = [{peer_port}, {peer_port}]\n\
@@ -303,8 +349,8 @@
              cpu_share = 0.25\ncores = 1\n[bounds]\ngrace_s = 6\n[platform]\n\
              addr = \"{}\"\n[cloud_api]\naddr = \"{}\"\n",
             index % 2,
-            platform_link.addr,
-            platform_link.addr,
+            store_link.addr,
+            failover_link.addr,
         );
         let settings = options.logs.join(format!("{name}-{}.toml", std::process::id()));
         fs::write(&settings, text)?;
@@ -314,7 +360,8 @@
             settings,
             log: options.logs.join(format!("{name}.log")),
             callers,
-            platform_link,
+            store_link,
+            failover_link,
             is_suspended: false,
             active_kills: 0,
             start_at: Some(Instant::now()),
@@ -322,8 +369,14 @@
         })
     }
 
+    /// Sets the fault of the links to the store and to the failover API.
+    fn set_platform_fault(&self, link_fault: LinkFault) {
+        self.store_link.set(link_fault);
+        self.failover_link.set(link_fault);
+    }
+
     fn can_follow_store(&self) -> bool {
-        self.process.is_some() && !self.is_suspended && !self.platform_link.is_faulty()
+        self.process.is_some() && !self.is_suspended && !self.store_link.is_faulty()
     }
 
     fn signal(&mut self, signal: Signal) -> Result<(), SoakError> {
--- a/crates/soak/src/fault.rs
+++ b/crates/soak/src/fault.rs
@@ -19,6 +19,12 @@
 const CHANGE_INTERVAL_MS: (u64, u64) = (400, 6_000);
 const OPERATION_INTERVAL_MS: (u64, u64) = (1_500, 6_000);
 const STANDSTILL_INTERVAL_MS: (u64, u64) = (1_000, 4_000);
+/// Ranges of the time between two moves of a database, two disturbances of failover calls, two
+/// entries of another writer, and two replicas that receive nothing, in ms.
+const MOVE_INTERVAL_MS: (u64, u64) = (500, 4_000);
+const FAILOVER_LINK_INTERVAL_MS: (u64, u64) = (1_000, 5_000);
+const FOREIGN_ENTRY_INTERVAL_MS: (u64, u64) = (1_000, 6_000);
+const DEAF_INTERVAL_MS: (u64, u64) = (1_000, 5_000);
 /// Range of the time between two losses of the store's latest writes, in ms.
 const LOSS_INTERVAL_MS: (u64, u64) = (2_500, 8_000);
 /// Longest time after a loss until the operator and the members have written again, in ms: the users
@@ -71,6 +77,15 @@
     Lag(u64),
     /// Changes the configuration: adds the extra database or removes it.
     Configure,
+    /// Changes the configuration: moves a database to another group.
+    MoveDatabase,
+    /// Disturbs the connections of a daemon to the failover API.
+    FailoverLink(usize, Mode),
+    /// Lets another writer replace a member's entry. The member writes its own again when the fault
+    /// ends.
+    ForeignEntry(usize),
+    /// Lets a member receive nothing from its primary.
+    Deaf(usize),
 }
 
 /// A fault with its start, as time since the start of the run, and its duration.
@@ -93,7 +108,20 @@
         faults.extend(series(options, rng, STANDSTILL_INTERVAL_MS, standstill));
         let loss = |rng: &mut ChaCha8Rng| Fault::LoseWrites(rng.random_range(0..REWRITE_MAX_MS));
         faults.extend(series(options, rng, LOSS_INTERVAL_MS, loss));
+        let link = |rng: &mut ChaCha8Rng| {
+            let daemon = rng.random_range(0..options.daemons);
+            Fault::FailoverLink(daemon, random_mode(rng))
+        };
+        faults.extend(series(options, rng, FAILOVER_LINK_INTERVAL_MS, link));
+        let member = |rng: &mut ChaCha8Rng| rng.random_range(0..options.groups * 3);
+        let foreign = |rng: &mut ChaCha8Rng| Fault::ForeignEntry(member(rng));
+        faults.extend(series(options, rng, FOREIGN_ENTRY_INTERVAL_MS, foreign));
+        if options.sync_replicas() > 0 {
+            let deaf = |rng: &mut ChaCha8Rng| Fault::Deaf(member(rng));
+            faults.extend(series(options, rng, DEAF_INTERVAL_MS, deaf));
+        }
     }
+    faults.extend(series(options, rng, MOVE_INTERVAL_MS, |_| Fault::MoveDatabase));
     faults
 }
 
@@ -144,9 +172,7 @@
 fn random_fault(options: &Options, rng: &mut ChaCha8Rng) -> Fault {
     let daemon = rng.random_range(0..options.daemons);
     let member = rng.random_range(0..options.groups * 3);
-    let delayed = Mode::Delayed(Duration::from_millis(rng.random_range(5..400)));
-    let modes = [Mode::Silent, Mode::OneWay, Mode::Reset, delayed];
-    let mode = *modes.choose(rng).unwrap_or(&Mode::Silent);
+    let mode = random_mode(rng);
     let daemons = if rng.random_bool(0.3) { u64::MAX } else { rng.random() };
     let link_fault = LinkFault { mode, daemons };
     match rng.random_range(0..30) {
@@ -172,6 +198,12 @@
     }
 }
 
+fn random_mode(rng: &mut ChaCha8Rng) -> Mode {
+    let delayed = Mode::Delayed(Duration::from_millis(rng.random_range(5..400)));
+    let modes = [Mode::Silent, Mode::OneWay, Mode::Reset, delayed];
+    *modes.choose(rng).unwrap_or(&Mode::Silent)
+}
+
 /// Bit mask of one daemon; empty for those beyond the first 64, which masks do not cover.
 fn bit(daemon: usize) -> u64 {
     1u64.checked_shl(daemon as u32).unwrap_or(0)
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -14,6 +14,7 @@
 mod fault;
 mod history;
 mod line_conn;
+mod moving_caller;
 mod options;
 mod process;
 mod proxy;
--- a/crates/soak/src/options.rs
+++ b/crates/soak/src/options.rs
@@ -20,6 +20,12 @@
 }
 
 impl Options {
+    /// Number of replicas that must receive a commit before it is acknowledged. Without any, commits
+    /// that a replica has not received may be lost, so none falls behind for long.
+    pub(crate) fn sync_replicas(&self) -> u32 {
+        u32::from(self.seed % 4 == 3)
+    }
+
     /// Whether the run has only planned operations and no failures. No request may be
     /// interrupted then.
     pub(crate) fn is_planned_only(&self) -> bool {
--- a/crates/soak/src/proxy.rs
+++ b/crates/soak/src/proxy.rs
@@ -103,8 +103,9 @@
     let (client_rx, client_tx) = client.into_split();
     let (server_rx, mut server_tx) = server.into_split();
     let to_server = async {
-        if connection.clone().write(&first[..count], &mut server_tx, false).await.is_some() {
-            copy(client_rx, server_tx, connection.clone(), false).await;
+        let mut connection = connection.clone();
+        if connection.write(&first[..count], &client_rx, &mut server_tx, false).await.is_some() {
+            copy(client_rx, server_tx, connection, false).await;
         }
     };
     let to_client = copy(server_rx, client_tx, connection.clone(), true);
@@ -135,7 +136,7 @@
     let mut buf = vec![0; CHUNK_BYTES];
     loop {
         let Ok(count @ 1..) = rx.read(&mut buf).await else { return };
-        if connection.write(&buf[..count], &mut tx, is_reply).await.is_none() {
+        if connection.write(&buf[..count], &rx, &mut tx, is_reply).await.is_none() {
             return;
         }
     }
@@ -146,10 +147,12 @@
         self.link_fault.borrow_and_update().mode_for(self.daemon)
     }
 
-    /// Writes the bytes once the mode permits it.
+    /// Writes the bytes once the mode permits it, unless their sender has reset the connection by
+    /// then: a reset discards what has not been delivered.
     async fn write(
         &mut self,
         buf: &[u8],
+        rx: &tcp::OwnedReadHalf,
         tx: &mut tcp::OwnedWriteHalf,
         is_reply: bool,
     ) -> Option<()> {
@@ -163,6 +166,9 @@
         if let Mode::Delayed(delay) = self.mode() {
             time::sleep(delay).await;
         }
+        if !matches!(rx.as_ref().take_error(), Ok(None)) {
+            return None;
+        }
         tx.write_all(buf).await.ok()
     }
 }
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -21,6 +21,7 @@
     fault::{self, Fault},
     history::History,
     line_conn::{LineConn, Reply},
+    moving_caller::MovingCaller,
     options::Options,
 };
 
@@ -32,6 +33,8 @@
 /// A request whose connection closed within this time after the request was sent does not count
 /// as interrupted: the daemon may not have read it. The users' requirements allow this time.
 const INTERRUPTION_TOLERANCE: Duration = Duration::from_millis(200);
+/// Number of callers of the database that moves between groups.
+const MOVING_CALLERS: usize = 4;
 const POLL_INTERVAL: Duration = Duration::from_millis(20);
 /// Time limit of a probe, after which it is repeated. Callers wait about as long.
 const PROBE_TIMEOUT: Duration = Duration::from_secs(2);
@@ -114,6 +117,16 @@
         history: Rc::clone(&history),
     };
     callers.push(tokio::task::spawn_local(prober.run(stop.subscribe())));
+    callers.extend((0..MOVING_CALLERS).map(|number| {
+        let caller = MovingCaller {
+            number,
+            seed: options.seed,
+            daemons: addrs.clone(),
+            database: deployment.moving_database(),
+            history: Rc::clone(&history),
+        };
+        tokio::task::spawn_local(caller.run(stop.subscribe()))
+    }));
     let faults = run_faults(options, &mut deployment, &history).await?;
     let faults_ended = Instant::now();
     if !wait_for_restarts(&mut deployment, &history).await? {
--- a/crates/standins/src/lines/control.rs
+++ b/crates/standins/src/lines/control.rs
@@ -51,6 +51,9 @@
     Restart(String),
     /// Name of a member, and whether it receives nothing from its primary.
     Deaf(String, bool),
+    /// Name of a member, and whether another writer replaces its entry; if `false`, the member writes
+    /// its own again.
+    ForeignEntry(String, bool),
     /// Name of a member, and the address under which the store lists it from now on.
     Advertise(String, SocketAddr),
 }
@@ -108,6 +111,8 @@
         TestCmd::CrashPrimary(group) => platform.crash(&platform.primary(group)),
         TestCmd::Restart(id) => platform.restart(&id),
         TestCmd::Deaf(id, deaf) => platform.set_deaf(&id, deaf),
+        TestCmd::ForeignEntry(id, true) => platform.replace_entry(&id),
+        TestCmd::ForeignEntry(id, false) => platform.shared.write_entry(&id),
         TestCmd::Advertise(id, addr) => platform.advertise(&id, addr),
     }
     Json(version)
--- a/crates/standins/src/lines/platform.rs
+++ b/crates/standins/src/lines/platform.rs
@@ -23,6 +23,9 @@
 /// Store table of the rows that the operator writes.
 const OPERATOR_TABLE: &str = "op";
 
+/// Number in an entry of another writer.
+const FOREIGN_SEQUENCE: u64 = 1_000_000;
+
 /// What the platform and its groups are at the start.
 #[derive(Clone, Debug, Default)]
 pub struct Options {
@@ -251,6 +254,16 @@
         self.shared.advertise(id, addr);
     }
 
+    /// Replaces the entry of a member by one of another writer: it has a state that is not known, and
+    /// a number far above the member's.
+    pub fn replace_entry(&self, id: &str) {
+        let Some(row) = self.row(MEMBERS_TABLE, id) else { return };
+        let Ok(mut entry) = serde_json::from_slice::<Value>(&row) else { return };
+        entry["state"] = "maintenance".into();
+        entry["sequence"] = FOREIGN_SEQUENCE.into();
+        self.put_row(MEMBERS_TABLE, id, entry.to_string().as_bytes());
+    }
+
     /// Deletes the entry of a member, as when it lapses while the store is away. The member goes
     /// on.
     pub fn drop_entry(&self, id: &str) {
@@ -312,7 +325,7 @@
     }
 
     /// Writes a member's current entry to the store, or deletes it if the member is stopped.
-    fn write_entry(&self, id: &str) {
+    pub(crate) fn write_entry(&self, id: &str) {
         let mut members = lock(&self.members);
         let Some(member) = members.get_mut(id) else { return };
         member.sequence += 1;
