--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -164,8 +164,8 @@
     steer '{"crash":"group0-m3"}'
     # The entries of both have lapsed by then: three intervals of 1.2 s.
     sleep 3.7
-    # From now on there is nobody to receive from.
-    steer '{"deaf":["group0-m2",false]}'
+    # There is nobody from whom m2 could receive now. The stand-in would pass on the log of a member that is down,
+    # so m2 stays cut off until the members are back.
     log "all processes are killed"
     for number in "${alive[@]}"; do kill -KILL "${pid_of[$number]}"; done
     for number in "${alive[@]}"; do wait "${pid_of[$number]}"; done
@@ -175,6 +175,7 @@
     sleep 4.1
     steer '{"restart":"group0-m1"}'
     steer '{"restart":"group0-m3"}'
+    steer '{"deaf":["group0-m2",false]}'
 fi
 sleep 15
 
