review: more room for the promotion in the script of case 6

Cause: the members came back half a second after the promotion, little on a slower machine. Change: the processes start again after 0.2 s, and the members are down for 8.4 s instead of 8.3 s.

--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -169,10 +169,10 @@
     log "all processes are killed"
     for number in "${alive[@]}"; do kill -KILL "${pid_of[$number]}"; done
     for number in "${alive[@]}"; do wait "${pid_of[$number]}"; done
-    sleep 0.5
+    sleep 0.2
     for number in "${alive[@]}"; do start "$number"; done
     log "the processes start again"
-    sleep 4.1
+    sleep 4.5
     steer '{"restart":"group0-m1"}'
     steer '{"restart":"group0-m3"}'
     steer '{"deaf":["group0-m2",false]}'
