Members that are not listed are recorded at the store until their commits are safe

Cause: the number of unlisted members that may hold commits was counted from the entries that the process had seen disappear within 30 s. A process that starts later counted none.

Change: the row replicas/GROUP names the members whose logs may hold acknowledged commits. Members leave it by proof (they have ended, and enough listed replicas hold all that they can have confirmed) or by the operator's word (--give-up); without a complete record only a member with the old primary's whole log is promoted. Unlisted members are asked at their last address. A primary is gone only if a list that was read 2.3 s later lacks it.

Why it works: what is counted is read from the store, beside the primary's record, by whichever process holds the lease; silence removes nobody; a record of an earlier era counts as incomplete.

--- a/crates/entry/src/control/coordination.rs
+++ b/crates/entry/src/control/coordination.rs
@@ -1,7 +1,9 @@
 use adapter::{Row, StoreKey, StoreTransaction};
 use base::{FastMap, FastSet};
 use serde::de::DeserializeOwned;
-use succession::{CarrierRecord, EraRecord, LeaseRecord, PartRecord, PrimaryRecord};
+use succession::{
+    CarrierRecord, EraRecord, LeaseRecord, PartRecord, PrimaryRecord, ReplicaSetRecord,
+};
 
 use crate::control::coordinator::encode;
 
@@ -9,6 +11,7 @@
 pub(crate) const STATE_TABLE: &str = "corianderwharf";
 const LEASE_KEY: &str = "duty";
 const PRIMARY_KEY_PREFIX: &str = "lead/";
+const REPLICA_SET_KEY_PREFIX: &str = "replicas/";
 const CARRIER_KEY_PREFIX: &str = "carrier/";
 const PART_KEY_PREFIX: &str = "part/";
 const ERA_KEY_PREFIX: &str = "era/";
@@ -17,8 +20,8 @@
 const TAKEN_PARTS_EXPIRED_AFTER_MS: u64 = 3_500;
 /// Longer than the loans of quota that a carrier has made under its last grant.
 const LOANS_EXPIRED_AFTER_MS: u64 = 2_000;
-/// Limit of primary records that one transaction writes again: the store accepts 100 entries, and
-/// each takes two.
+/// Limit of records that one transaction writes again: the store accepts 100 entries, and each takes
+/// two.
 const MAX_RECORDS_PER_WRITE: usize = 40;
 
 /// Rows of the state table as last read from the store or from another daemon.
@@ -43,6 +46,10 @@
     primary_records: FastMap<String, (PrimaryRecord, u64)>,
     /// Records of an earlier era that still hold, although the store has lost some.
     inherited: FastMap<String, PrimaryRecord>,
+    /// Replica sets by group, each with the version of its row.
+    replica_sets: FastMap<String, (ReplicaSetRecord, u64)>,
+    /// Replica sets of an earlier era that are still complete, although the store has lost some.
+    inherited_replica_sets: FastMap<String, ReplicaSetRecord>,
     /// Carriers by carrier slot, each with the version of its row.
     pub(crate) carriers: FastMap<String, (CarrierRecord, u64)>,
     /// Carriers that have lost their carrier slot, by that slot.
@@ -63,6 +70,19 @@
     pub(crate) origin: RecordOrigin,
 }
 
+/// What is known of the members of a group whose logs may hold acknowledged commits.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct KnownReplicaSet<'a> {
+    /// The record; `None` if there is none.
+    pub(crate) record: Option<&'a ReplicaSetRecord>,
+    /// Version of the row; 0 if there is none.
+    pub(crate) version: u64,
+    /// Whether the record names all such members that are not listed.
+    pub(crate) is_complete: bool,
+    /// Whether the store has the record in the present era.
+    is_stored: bool,
+}
+
 /// Where a group's primary record comes from.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) enum RecordOrigin {
@@ -79,6 +99,7 @@
 pub(crate) enum StateChange {
     Lease,
     Primary(String),
+    ReplicaSet,
     Carriers,
 }
 
@@ -95,7 +116,10 @@
     /// carried out any more that was started in the earlier era. The records then hold until they
     /// are replaced in the new era.
     pub(crate) fn begin_era(&mut self, era: u64, is_granted: bool) {
-        self.inherited = if is_granted { self.valid_records() } else { FastMap::default() };
+        (self.inherited, self.inherited_replica_sets) = match is_granted {
+            true => (self.valid_records(), self.complete_replica_sets()),
+            false => Default::default(),
+        };
         self.era = era;
         self.era_record = None;
     }
@@ -107,6 +131,30 @@
         valid.filter_map(|(group, known)| Some((group.clone(), known.record?.clone()))).collect()
     }
 
+    fn complete_replica_sets(&self) -> FastMap<String, ReplicaSetRecord> {
+        let groups = self.replica_sets.keys().chain(self.inherited_replica_sets.keys());
+        let known = groups.map(|group| (group, self.replica_set(group)));
+        let complete = known.filter(|(_, known)| known.is_complete);
+        complete.filter_map(|(group, known)| Some((group.clone(), known.record?.clone()))).collect()
+    }
+
+    /// What is known of the replica set of a group. Without a record, nothing is: the members that are
+    /// listed now need not be the only ones that have confirmed commits.
+    pub(crate) fn replica_set(&self, group: &str) -> KnownReplicaSet<'_> {
+        let (stored, version) = match self.replica_sets.get(group) {
+            Some((record, version)) => (Some(record), *version),
+            None => (None, 0),
+        };
+        let is_stored = stored.is_some_and(|record| record.era == self.era);
+        let inherited = self.inherited_replica_sets.get(group).filter(|_| !is_stored);
+        KnownReplicaSet {
+            record: inherited.or(stored),
+            version,
+            is_complete: is_stored || inherited.is_some(),
+            is_stored,
+        }
+    }
+
     /// What is known of the primary of a group.
     pub(crate) fn primary(&self, group: &str) -> KnownPrimary<'_> {
         let (stored, version) = match self.primary_records.get(group) {
@@ -128,27 +176,36 @@
         KnownPrimary { record: stored, version, origin }
     }
 
-    /// Whether primary records of an earlier era have to be written again.
+    /// Whether records of an earlier era have to be written again.
     pub(crate) fn lacks_records(&self) -> bool {
         self.lost_records().next().is_some()
     }
 
-    /// A transaction that writes primary records of an earlier era again which the store may have
-    /// lost, as many as fit.
+    /// A transaction that writes records of an earlier era again which the store may have lost, as many
+    /// as fit.
     pub(crate) fn write_again(&self, store_ms: u64) -> StoreTransaction {
         let lost = self.lost_records().take(MAX_RECORDS_PER_WRITE);
-        lost.fold(self.transaction(store_ms), |change, (group, record, version)| {
-            let key = CoordinationState::primary_record_key(group);
+        lost.fold(self.transaction(store_ms), |change, (key, version, value)| {
             let place = StoreKey { table: STATE_TABLE, key: &key };
-            let record = PrimaryRecord { era: self.era, ..record.clone() };
-            change.with_expected(place, version).with_put(place, &encode(&record))
+            change.with_expected(place, version).with_put(place, &value)
         })
     }
 
-    fn lost_records(&self) -> impl Iterator<Item = (&str, &PrimaryRecord, u64)> {
-        let known = self.inherited.keys().map(|group| (group.as_str(), self.primary(group)));
-        let lost = known.filter(|(_, known)| known.origin == RecordOrigin::Inherited);
-        lost.filter_map(|(group, known)| Some((group, known.record?, known.version)))
+    /// Records of an earlier era that the store may have lost: key, version and new value of each row.
+    fn lost_records(&self) -> impl Iterator<Item = (String, u64, Vec<u8>)> {
+        let primaries = self.inherited.keys().filter_map(|group| {
+            let known = self.primary(group);
+            let lost = known.record.filter(|_| known.origin == RecordOrigin::Inherited)?;
+            let record = PrimaryRecord { era: self.era, ..lost.clone() };
+            Some((CoordinationState::primary_record_key(group), known.version, encode(&record)))
+        });
+        let replica_sets = self.inherited_replica_sets.keys().filter_map(|group| {
+            let known = self.replica_set(group);
+            let lost = known.record.filter(|_| !known.is_stored)?;
+            let record = ReplicaSetRecord { era: self.era, ..lost.clone() };
+            Some((CoordinationState::replica_set_key(group), known.version, encode(&record)))
+        });
+        primaries.chain(replica_sets)
     }
 
     /// Whether the store, as of an answer in `era` at `store_ms` of its clock, has all that the
@@ -220,6 +277,11 @@
         format!("{PRIMARY_KEY_PREFIX}{group}")
     }
 
+    /// Key of the row that names the members of a group whose logs may hold acknowledged commits.
+    pub(crate) fn replica_set_key(group: &str) -> String {
+        format!("{REPLICA_SET_KEY_PREFIX}{group}")
+    }
+
     /// Name of a carrier slot in an availability zone.
     pub(crate) fn carrier_slot(zone: &str, number: u32) -> String {
         format!("{zone}/{number}")
@@ -313,6 +375,9 @@
         } else if let Some(group) = row.key.strip_prefix(PRIMARY_KEY_PREFIX) {
             put(&mut self.primary_records, group, decode(&row.key, value), version);
             changed.push(StateChange::Primary(group.to_owned()));
+        } else if let Some(group) = row.key.strip_prefix(REPLICA_SET_KEY_PREFIX) {
+            put(&mut self.replica_sets, group, decode(&row.key, value), version);
+            changed.push(StateChange::ReplicaSet);
         } else if let Some(place) = row.key.strip_prefix(PART_KEY_PREFIX) {
             put(&mut self.parts, place, decode(&row.key, value), version);
             changed.push(StateChange::Carriers);
--- a/crates/entry/src/control/coordinator.rs
+++ b/crates/entry/src/control/coordinator.rs
@@ -1,18 +1,17 @@
-use std::net::SocketAddr;
-
 use adapter::{FailoverClient, Promotion, StoreClient, StoreKey, StoreTransaction};
 use base::{FastMap, Span, Time};
 use futures_channel::mpsc;
 use succession::{
     Action, Assessment, Candidate, CandidateStatus, Failover, FailoverView, LeaseRecord,
-    PrimaryRecord, PromotionOutcome, assess, is_majority_of_every_list, is_primary_unused,
+    PrimaryRecord, PromotionOutcome, ReplicaSet, ReplicaSetAction, ReplicaSetRecord,
+    ReplicaSetView, assess, is_majority_of_every_list, is_primary_unused,
 };
 
 use crate::{
     clock,
     control::{
         carrier_roster::{CarrierRoster, RosterEntry},
-        coordination::{CoordinationState, RecordOrigin, STATE_TABLE},
+        coordination::{CoordinationState, KnownReplicaSet, RecordOrigin, STATE_TABLE},
         event::Event,
         member_calls,
         peers::Peers,
@@ -34,6 +33,10 @@
 /// How long after it began to confirm its lease in the store the holder may send a failover
 /// call.
 const CONFIRMATION_VALID_FOR: Span = Span::from_millis(300);
+/// Interval between two log lines that name the members which a failover waits for.
+const AWAITED_LOG_INTERVAL: Span = Span::from_millis(5_000);
+/// Age up to which a member's status shows that it answers: several status queries.
+const STATUS_MAX_AGE: Span = Span::from_millis(1_000);
 /// Delay after a write to the store before the next one, unless changed rows show the outcome
 /// earlier.
 const WRITE_RETRY_DELAY: Span = Span::from_millis(400);
@@ -59,6 +62,7 @@
     /// `None` once changed rows have shown the outcome.
     write_retry_at: Option<Time>,
     failovers: FastMap<String, Failover>,
+    replica_sets: FastMap<String, ReplicaSet>,
     /// Latest status of each member, by its identifier.
     statuses: FastMap<String, CandidateStatus>,
     /// When this daemon learned of the current primary record of each group.
@@ -66,13 +70,8 @@
     /// Version of each group's primary record, and since when carriers that are a majority of
     /// every list have applied it ([`is_majority_of_every_list`]).
     majority_since: FastMap<String, (u64, Time)>,
-}
-
-/// A member of a group, the current primary included, with its address.
-#[derive(Clone, Debug)]
-pub(crate) struct MemberCandidate {
-    pub(crate) candidate: Candidate,
-    pub(crate) addr: SocketAddr,
+    /// When the members that each group's failover waits for were last logged.
+    awaited_logged_at: FastMap<String, Time>,
 }
 
 /// Inputs for the failover of a group, as known to this daemon.
@@ -80,14 +79,27 @@
 pub(crate) struct GroupView<'a> {
     pub(crate) name: &'a str,
     pub(crate) sync_replicas: u32,
-    /// Number of members whose entries have disappeared and that may come back with their logs.
-    pub(crate) departed: usize,
-    pub(crate) candidates: Vec<MemberCandidate>,
+    /// The listed members.
+    pub(crate) members: Vec<Candidate>,
+    /// Latest time at which the list is known to have been complete.
+    pub(crate) members_as_of: Time,
     /// Health of the primary as this daemon observes it; `None` without a recent
     /// observation.
     pub(crate) local_health: Option<succession::PrimaryHealth>,
 }
 
+/// A group and its members with their latest statuses.
+#[derive(Debug)]
+struct GroupState<'a> {
+    view: &'a GroupView<'a>,
+    listed: Vec<Candidate>,
+    /// Members that are not listed, but whose logs may hold acknowledged commits.
+    unlisted: Vec<Candidate>,
+    /// Number of further such members; `None` if it is not known.
+    unnamed: Option<usize>,
+    replica_set: KnownReplicaSet<'a>,
+}
+
 /// The carriers that may use a primary.
 #[derive(Debug)]
 struct Carriers {
@@ -96,6 +108,52 @@
     unlisted: usize,
 }
 
+impl<'a> GroupState<'a> {
+    fn new(
+        coordination: &'a CoordinationState,
+        statuses: &FastMap<String, CandidateStatus>,
+        view: &'a GroupView<'a>,
+    ) -> GroupState<'a> {
+        let listed = view.members.iter().map(|member| {
+            let status = statuses.get(&member.id).copied();
+            Candidate { status, ..member.clone() }
+        });
+        let listed: Vec<_> = listed.collect();
+        let replica_set = coordination.replica_set(view.name);
+        let record = replica_set.record.filter(|_| view.sync_replicas > 0);
+        let unlisted = record.into_iter().flat_map(|record| record.unlisted(&listed));
+        let unlisted = unlisted.map(|(id, replica)| Candidate {
+            id: id.clone(),
+            addr: replica.addr,
+            leaving: replica.leaving,
+            registers_as_primary: false,
+            status: statuses.get(id).copied(),
+        });
+        let unlisted = unlisted.collect();
+        let unnamed = match view.sync_replicas {
+            0 => Some(0),
+            _ => record.filter(|_| replica_set.is_complete).map(|it| it.omitted as usize),
+        };
+        GroupState { view, listed, unlisted, unnamed, replica_set }
+    }
+
+    /// Adds the record of the listed members to the transaction that writes the group's first primary
+    /// record. No daemon has used the group before, so no other member can hold acknowledged commits.
+    fn put_first_replica_set(
+        &self,
+        coordination: &CoordinationState,
+        change: StoreTransaction,
+    ) -> StoreTransaction {
+        if self.view.sync_replicas == 0 {
+            return change;
+        }
+        let key = CoordinationState::replica_set_key(self.view.name);
+        let place = StoreKey { table: STATE_TABLE, key: &key };
+        let record = ReplicaSetRecord::of_listed(&self.listed, coordination.era);
+        change.with_expected(place, self.replica_set.version).with_put(place, &encode(&record))
+    }
+}
+
 impl FailoverCoordinator {
     pub(crate) fn new(
         vm: String,
@@ -116,9 +174,11 @@
             holder_store_reachable_at: now,
             write_retry_at: None,
             failovers: FastMap::default(),
+            replica_sets: FastMap::default(),
             statuses: FastMap::default(),
             record_learned_at: FastMap::default(),
             majority_since: FastMap::default(),
+            awaited_logged_at: FastMap::default(),
         }
     }
 
@@ -128,6 +188,11 @@
         self.write_retry_at = None;
     }
 
+    /// Handles a change of a group's replica set.
+    pub(crate) fn replica_set_changed(&mut self) {
+        self.write_retry_at = None;
+    }
+
     /// Handles a change of the lease's row.
     pub(crate) fn lease_changed(&mut self, duty: Option<&LeaseRecord>) {
         self.write_retry_at = None;
@@ -149,6 +214,7 @@
                 &serde_json::json!({"holder": duty.map(|duty| &duty.holder)}),
             );
             self.failovers.values_mut().for_each(Failover::reset);
+            self.replica_sets.clear();
         }
     }
 
@@ -211,8 +277,10 @@
             listed: CarrierRoster { vm: &self.vm, coordination, peers, store_ms }.entries(),
             unlisted: coordination.unlisted_carriers(slots, store_ms),
         };
-        for group in groups {
-            self.advance_failover(now, coordination, peers, &carriers, store_ms, group);
+        for view in groups {
+            let group = GroupState::new(coordination, &self.statuses, view);
+            self.advance_failover(now, coordination, peers, &carriers, store_ms, &group);
+            self.maintain_replica_set(now, coordination, store_ms, &group);
         }
     }
 
@@ -274,9 +342,10 @@
         peers: &Peers,
         carriers: &Carriers,
         store_ms: u64,
-        group: &GroupView<'_>,
+        group: &GroupState<'_>,
     ) {
-        let known = coordination.primary(group.name);
+        let name = group.view.name;
+        let known = coordination.primary(name);
         let held_for = now.since(self.holder_since.unwrap_or(now));
         let may_promote = held_for >= FIRST_CALL_DELAY;
         let is_outdated = known.origin == RecordOrigin::Outdated;
@@ -286,44 +355,45 @@
         }
         let is_stored_change =
             known.origin == RecordOrigin::Stored && known.record.is_some_and(|it| it.changing);
-        let primary_unused = is_stored_change
-            && self.no_carrier_uses_primary(now, known.version, group.name, carriers);
+        let primary_unused =
+            is_stored_change && self.no_carrier_uses_primary(now, known.version, name, carriers);
         let assessment = match known.record {
             Some(record) => {
-                let mut opinions = peers.opinions(now, group.name, &record.primary);
-                opinions.extend(group.local_health);
+                let mut opinions = peers.opinions(now, name, &record.primary);
+                opinions.extend(group.view.local_health);
                 assess(&opinions)
             }
             None => Assessment::Keep,
         };
-        let members: Vec<Candidate> = group
-            .candidates
-            .iter()
-            .map(|place| {
-                let status = self.statuses.get(&place.candidate.id).copied();
-                Candidate { status, ..place.candidate.clone() }
-            })
-            .collect();
+        if primary_unused && may_promote {
+            self.log_awaited_members(now, group);
+        }
         let view = FailoverView {
             record: known.record,
             is_outdated,
             primary_unused,
             may_promote,
-            members: &members,
+            members: &group.listed,
+            members_as_of: group.view.members_as_of,
             assessment,
-            sync_replicas: group.sync_replicas,
-            departed: group.departed,
+            sync_replicas: group.view.sync_replicas,
+            unlisted: &group.unlisted,
+            unnamed: group.unnamed,
         };
-        let failover = self.failovers.entry(group.name.to_owned()).or_default();
+        let failover = self.failovers.entry(name.to_owned()).or_default();
         let writing = self.write_retry_at.is_some_and(|until| now < until);
         match failover.tick(now, &view) {
             Some(Action::Write { .. }) if writing => {}
             Some(Action::Write { record: wanted, reason }) => {
                 let change = coordination.transaction(store_ms);
+                let change = match known.record {
+                    Some(_) => change,
+                    None => group.put_first_replica_set(coordination, change),
+                };
                 self.write_primary_record(
                     coordination,
                     change,
-                    group.name,
+                    name,
                     known.version,
                     &wanted,
                     reason,
@@ -333,18 +403,38 @@
             Some(Action::StepDown { member, term }) => {
                 logs::event(
                     "step down",
-                    &serde_json::json!({"group": group.name, "member": member, "term": term}),
+                    &serde_json::json!({"group": name, "member": member, "term": term}),
                 );
                 self.query_members(group, Some((&member, term)));
             }
             Some(Action::Promote { member }) => {
                 let confirmation = coordination.transaction(store_ms);
-                self.promote(coordination, confirmation, group.name, member);
+                self.promote(coordination, confirmation, name, member);
             }
             None => {}
         }
     }
 
+    /// Logs which members a failover may be waiting for: as long as their logs are not known, none is
+    /// promoted that may lack acknowledged commits.
+    fn log_awaited_members(&mut self, now: Time, group: &GroupState<'_>) {
+        let GroupView { name, sync_replicas, .. } = *group.view;
+        let logged_at = self.awaited_logged_at.entry(name.to_owned()).or_insert(now);
+        if sync_replicas == 0 || now.since(*logged_at) < AWAITED_LOG_INTERVAL {
+            return;
+        }
+        *logged_at = now;
+        let answers = |member: &&Candidate| {
+            member.status.is_some_and(|status| now.since(status.asked_at) < STATUS_MAX_AGE)
+        };
+        let silent = group.listed.iter().chain(&group.unlisted).filter(|member| !answers(member));
+        let silent: Vec<_> = silent.map(|member| member.id.as_str()).collect();
+        logs::event(
+            "failover waits for members",
+            &serde_json::json!({"group": name, "silent": silent, "unnamed": group.unnamed}),
+        );
+    }
+
     /// Whether no carrier uses the old primary any more. `version` is the version of the
     /// group's primary record that started the failover.
     fn no_carrier_uses_primary(
@@ -412,14 +502,82 @@
         });
     }
 
-    /// Asks every member of the group for its status. `step_down` names a member that is
-    /// ordered to step down, and the term that supersedes its own.
-    fn query_members(&self, group: &GroupView<'_>, step_down: Option<(&str, u64)>) {
-        for place in &group.candidates {
-            let member = place.candidate.id.clone();
+    /// Keeps the record of the members whose logs may hold acknowledged commits up to date. Without
+    /// replicas that confirm commits there is no such record.
+    fn maintain_replica_set(
+        &mut self,
+        now: Time,
+        coordination: &CoordinationState,
+        store_ms: u64,
+        group: &GroupState<'_>,
+    ) {
+        // Members write their entries again before an era is settled.
+        let is_settled = coordination.is_settled(coordination.era, store_ms);
+        if !is_settled || self.is_write_delayed(now) {
+            return;
+        }
+        let GroupView { name, sync_replicas, .. } = *group.view;
+        let KnownReplicaSet { record, is_complete, .. } = group.replica_set;
+        if sync_replicas == 0 {
+            if record.is_some() {
+                self.write_replica_set(coordination, store_ms, name, None);
+            }
+            return;
+        }
+        let known = coordination.primary(name);
+        let primary =
+            known.record.filter(|it| !it.changing && known.origin == RecordOrigin::Stored);
+        let view = ReplicaSetView {
+            record,
+            is_complete,
+            members: &group.listed,
+            primary: primary.map(|record| record.primary.as_str()),
+            sync_replicas,
+        };
+        let replica_set = self.replica_sets.entry(name.to_owned()).or_default();
+        match replica_set.tick(now, &view) {
+            Some(ReplicaSetAction::Write(record)) => {
+                self.write_replica_set(coordination, store_ms, name, Some(&record));
+            }
+            Some(ReplicaSetAction::QueryStatus) => self.query_members(group, None),
+            None => {}
+        }
+    }
+
+    /// Writes the replica set of a group, or deletes it, if neither it nor the lease has changed.
+    fn write_replica_set(
+        &mut self,
+        coordination: &CoordinationState,
+        store_ms: u64,
+        group: &str,
+        record: Option<&ReplicaSetRecord>,
+    ) {
+        let Some((_, lease_version)) = coordination.lease() else { return };
+        logs::event("writing replica set", &serde_json::json!({"group": group, "record": record}));
+        let key = CoordinationState::replica_set_key(group);
+        let place = StoreKey { table: STATE_TABLE, key: &key };
+        let change = coordination
+            .transaction(store_ms)
+            .with_expected(CoordinationState::lease_key(), lease_version)
+            .with_expected(place, coordination.replica_set(group).version);
+        let change = match record {
+            Some(record) => {
+                let record = ReplicaSetRecord { era: coordination.era, ..record.clone() };
+                change.with_put(place, &encode(&record))
+            }
+            None => change.with_delete(place),
+        };
+        self.write("replicas", change);
+    }
+
+    /// Asks every member of the group for its status, also those that are not listed. `step_down` names
+    /// a member that is ordered to step down, and the term that supersedes its own.
+    fn query_members(&self, group: &GroupState<'_>, step_down: Option<(&str, u64)>) {
+        for member in group.listed.iter().chain(&group.unlisted) {
+            let (member, addr) = (member.id.clone(), member.addr);
             let term = step_down.filter(|(target, _)| *target == member).map(|(_, term)| term);
-            let (addr, vm, events) = (place.addr, self.vm.clone(), self.events.clone());
-            let group = group.name.to_owned();
+            let (vm, events, group) =
+                (self.vm.clone(), self.events.clone(), group.view.name.to_owned());
             tokio::spawn(async move {
                 let status = member_calls::status(addr, &group, &vm, &member, term).await;
                 // Fails only during shutdown.
--- a/crates/entry/src/control/mod.rs
+++ b/crates/entry/src/control/mod.rs
@@ -19,8 +19,10 @@
 mod member_calls;
 mod peers;
 mod pending_orders;
+mod replicas_command;
 mod row_sync;
 mod tables;
 mod task;
 
+pub use self::replicas_command::{ReplicasCommand, ReplicasError};
 pub(crate) use self::{event::Event, task::run};
--- a/crates/entry/src/control/task.rs
+++ b/crates/entry/src/control/task.rs
@@ -9,8 +9,8 @@
 use futures_util::StreamExt;
 use pool::Shares;
 use succession::{
-    Candidate, CarrierDirectory, CopyLease, EvidenceRelay, FollowedTables, PartClaim, PrimaryGrant,
-    PrimaryHealth,
+    Candidate, CarrierDirectory, Copied, CopyLease, EvidenceRelay, FollowedTables, PartClaim,
+    PrimaryGrant, PrimaryHealth,
 };
 use tokio::{
     net::{TcpListener, UdpSocket},
@@ -21,7 +21,7 @@
     clock,
     control::{
         coordination::{CoordinationState, STATE_TABLE},
-        coordinator::{FailoverCoordinator, GroupView, MemberCandidate},
+        coordinator::{FailoverCoordinator, GroupView},
         event::Event,
         feeds,
         followed_since::FollowedSince,
@@ -87,8 +87,6 @@
     /// When the store was asked that has confirmed a configuration which is not yet in force there.
     pending_confirmation: Option<Time>,
     members: FastMap<String, Member>,
-    /// Group of each member that is gone but did not drain, and when it was dropped.
-    departed: FastMap<String, (String, Time)>,
     members_known: bool,
     pending_orders: PendingOrders,
     /// Version up to which this daemon applies the rows of the state table.
@@ -257,7 +255,6 @@
             applied_config: 0,
             pending_confirmation: None,
             members: FastMap::default(),
-            departed: FastMap::default(),
             members_known: false,
             pending_orders: PendingOrders::default(),
             applied_version: 0,
@@ -447,6 +444,7 @@
             return;
         }
         let Some(config) = self.config.clone() else { return };
+        self.confirm_missing_primaries(now, &config);
         let views: Vec<_> = config.groups.iter().map(|group| self.group_view(now, group)).collect();
         let running_for = self.standstill.running_for(now);
         let store_ms = self.store_ms(now);
@@ -457,14 +455,12 @@
 
     fn group_view<'a>(&self, now: Time, group: &'a Group) -> GroupView<'a> {
         let members = self.members.values().filter(|member| member.entry.group == group.name);
-        let candidates = members.map(|member| MemberCandidate {
-            candidate: Candidate {
-                id: member.entry.id.clone(),
-                leaving: member.entry.state == MemberState::Draining,
-                registers_as_primary: member.entry.role == MemberRole::Primary,
-                status: None,
-            },
+        let members = members.map(|member| Candidate {
+            id: member.entry.id.clone(),
             addr: member.entry.addr,
+            leaving: member.entry.state == MemberState::Draining,
+            registers_as_primary: member.entry.role == MemberRole::Primary,
+            status: None,
         });
         let known = self.coordination.primary(&group.name);
         let primary = known.record.map(|record| record.primary.as_str());
@@ -472,15 +468,11 @@
             .opinions
             .get(&group.name)
             .filter(|(id, _, at)| Some(id.as_str()) == primary && now.since(*at) < HEALTH_MAX_AGE);
-        let primary = primary.unwrap_or_default();
-        let departed = self.departed.iter().filter(|(id, (name, at))| {
-            *name == group.name && *id != primary && now.since(*at) < rows::DEPARTED_RETENTION
-        });
         GroupView {
             name: &group.name,
-            departed: departed.count(),
             sync_replicas: group.sync_replicas,
-            candidates: candidates.collect(),
+            members: members.collect(),
+            members_as_of: self.copies.confirmed_at(Copied::Members).unwrap_or_default(),
             local_health: opinion.map(|(_, opinion, _)| *opinion),
         }
     }
--- a/crates/entry/src/control/task/rows.rs
+++ b/crates/entry/src/control/task/rows.rs
@@ -3,7 +3,8 @@
 use std::{net::SocketAddr, sync::Arc};
 
 use adapter::{
-    CONFIG_KEY, Config, MEMBERS_TABLE, MemberEntry, MemberState, OPERATOR_TABLE, Revision, Row,
+    CONFIG_KEY, Config, Group, MEMBERS_TABLE, MemberEntry, MemberState, OPERATOR_TABLE, Revision,
+    Row,
 };
 use base::{FastMap, MemberId, Span, Time, store_version};
 use pool::{MemberSpec, Shares};
@@ -25,9 +26,6 @@
 /// How long a member is kept after its entry has disappeared. Entries that expire during an
 /// outage of the store are written again within two seconds after its end.
 const MEMBER_ENTRY_EXPIRY: Span = Span::from_millis(2_300);
-/// How long a member that is gone counts as one that may come back with its log: several times as
-/// long as members are usually down or cut off from the store.
-pub(super) const DEPARTED_RETENTION: Span = Span::from_millis(30_000);
 /// Minimum interval between calls that ask the store whether members' entries are still missing.
 const MISSING_CHECK_INTERVAL: Span = Span::from_millis(1_000);
 /// Time between the turns of two carriers to write records again: the other learns by then that the
@@ -190,7 +188,6 @@
             });
             match entry {
                 Some(entry) => {
-                    self.departed.remove(&row.key);
                     self.members.insert(row.key.clone(), Member { entry, missing_since: None });
                 }
                 // The member, if it lives, soon writes its own entry again.
@@ -227,19 +224,24 @@
         }
         let is_expired =
             |member: &mut Member| expires_at(member).is_some_and(|at| at <= confirmed_at);
-        let expired: Vec<_> = self.members.extract_if(|_, member| is_expired(member)).collect();
-        self.departed.retain(|_, (_, at)| now.since(*at) < DEPARTED_RETENTION);
-        for (id, Member { entry, .. }) in &expired {
-            // The log of a member that has drained is at the member that took its address.
-            if entry.state != MemberState::Draining {
-                self.departed.insert(id.clone(), (entry.group.clone(), now));
-            }
-        }
-        if !expired.is_empty() {
+        let expired = self.members.extract_if(|_, member| is_expired(member)).count();
+        if expired > 0 {
             self.send_members();
         }
     }
 
+    /// As the holder of the failover lease, asks the store again for the entries while that of a
+    /// primary is missing. A list that was read earlier does not show that it stays away.
+    pub(super) fn confirm_missing_primaries(&mut self, now: Time, config: &Config) {
+        let is_missing = |group: &Group| {
+            let primary = self.coordination.primary(&group.name);
+            primary.record.is_some_and(|record| !self.members.contains_key(&record.primary))
+        };
+        if self.coordinator.is_holder() && config.groups.iter().any(is_missing) {
+            self.confirm_copy(now, MEMBERS_TABLE, MISSING_CHECK_INTERVAL);
+        }
+    }
+
     /// Sends the members of each group to the data thread, and their connection shares.
     pub(super) fn send_members(&mut self) {
         let mut groups: FastMap<&str, Vec<(MemberSpec, SocketAddr)>> = FastMap::default();
@@ -296,6 +298,7 @@
                         .lease_changed(self.coordination.lease().map(|(lease, _)| lease));
                 }
                 StateChange::Primary(group) => self.primary_changed(&group),
+                StateChange::ReplicaSet => self.coordinator.replica_set_changed(),
                 StateChange::Carriers => self.carriers_changed(),
             }
         }
@@ -317,7 +320,7 @@
         self.last_rewrite = None;
     }
 
-    /// Writes primary records of an earlier era again that the store may have lost. Carriers take
+    /// Writes records of an earlier era again that the store may have lost. Carriers take
     /// turns in the order of their names.
     pub(super) fn write_primaries_again(&mut self, now: Time) {
         let is_current = self.coordination.era == self.store_era && self.store_ms > 0;
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -16,4 +16,7 @@
 mod standstill;
 mod start_up;
 
-pub use crate::daemon::{Daemon, StartError};
+pub use crate::{
+    control::{ReplicasCommand, ReplicasError},
+    daemon::{Daemon, StartError},
+};
--- a/crates/entry/tests/support/daemon.rs
+++ b/crates/entry/tests/support/daemon.rs
@@ -216,6 +216,16 @@
         value.next().unwrap_or_default()
     }
 
+    /// Runs the daemon's program with its settings and these arguments and returns what it prints.
+    pub fn run_command(&self, args: &[&str]) -> String {
+        let _lock = lock_spawn();
+        let mut command = Command::new(env!("CARGO_BIN_EXE_corianderwharf-entry"));
+        let out = command.arg("--settings").arg(&self.settings).args(args).output();
+        let out = out.expect("test setup failed");
+        assert!(out.status.success(), "{}", String::from_utf8_lossy(&out.stderr));
+        String::from_utf8(out.stdout).expect("test setup failed")
+    }
+
     /// Identifier of the process.
     pub fn pid(&self) -> u32 {
         self.child.id()
--- a/crates/standins/src/lines/platform.rs
+++ b/crates/standins/src/lines/platform.rs
@@ -238,6 +238,11 @@
         self.shared.store.put_bytes(table, key, Some(value));
     }
 
+    /// Deletes a row, as in a copy of the store from before it was written.
+    pub fn delete_row(&self, table: &str, key: &str) {
+        self.shared.store.put(table, key, None);
+    }
+
     /// Value of a row; `None` if it does not exist.
     pub fn row(&self, table: &str, key: &str) -> Option<Vec<u8>> {
         let state = self.shared.store.state();
--- a/crates/succession/src/failover.rs
+++ b/crates/succession/src/failover.rs
@@ -1,4 +1,4 @@
-use std::cmp::Reverse;
+use std::{cmp::Reverse, net::SocketAddr};
 
 use base::{FastMap, Position, Span, Time};
 
@@ -76,15 +76,18 @@
     /// Whether this daemon has held the lease for long enough to carry out failovers. Until
     /// then it neither makes failover calls nor sends status queries or step-down orders.
     pub may_promote: bool,
-    /// Members of the group, the primary included.
+    /// Listed members of the group, the primary included.
     pub members: &'a [Candidate],
+    /// Latest time at which the list is known to have been complete.
+    pub members_as_of: Time,
     /// Conclusion from the daemons' observations of the primary.
     pub assessment: Assessment,
     /// Number of replicas that must have received a commit before it is acknowledged.
     pub sync_replicas: u32,
-    /// Number of replicas that are not listed, but may come back with commits that they have
-    /// confirmed.
-    pub departed: usize,
+    /// Members that are not listed, but whose logs may hold acknowledged commits.
+    pub unlisted: &'a [Candidate],
+    /// Number of further such members; `None` if it is not known.
+    pub unnamed: Option<usize>,
 }
 
 /// A member of a group, the current primary included.
@@ -92,6 +95,8 @@
 pub struct Candidate {
     /// Identifier of the member.
     pub id: String,
+    /// Address at which it accepts connections.
+    pub addr: SocketAddr,
     /// Whether it is draining and about to stop.
     pub leaving: bool,
     /// Whether its own entry at the platform says that it is primary.
@@ -153,6 +158,13 @@
     NotMade,
 }
 
+impl<'a> FailoverView<'a> {
+    /// The members whose logs may hold acknowledged commits, as far as they are known by name.
+    fn all_members(&self) -> impl Iterator<Item = &'a Candidate> {
+        self.members.iter().chain(self.unlisted)
+    }
+}
+
 impl Failover {
     /// Discards the progress of a failover, but not the knowledge of calls that may still take
     /// effect.
@@ -243,7 +255,9 @@
         if let Some(action) = self.check_record(now, record, view) {
             return Some(action);
         }
-        let is_gone = missing_since.is_some_and(|at| now.since(at) >= ENTRY_RETURN_TIMEOUT);
+        // The entry may have come back in the meantime: only a later list shows that it is missing.
+        let is_gone =
+            missing_since.is_some_and(|at| view.members_as_of >= at + ENTRY_RETURN_TIMEOUT);
         let (planned, reason) = match (view.assessment, primary) {
             (Assessment::Replace, _) => (false, "enough daemons find the primary failed"),
             // Another member can be promoted only once no call may promote this one again.
@@ -327,7 +341,7 @@
         since: Time,
         view: &FailoverView<'a>,
     ) -> Option<&'a Candidate> {
-        let primary = only_primary(view.members, since)?;
+        let primary = only_primary(since, view)?;
         self.calls.open(now).all(|member| member == primary.id).then_some(primary)
     }
 
@@ -484,10 +498,10 @@
         true => (replicas + 1, None),
         false => (replicas, primary_status(since, record, view).map(|status| status.received)),
     };
-    let others = view.members.iter().filter(|it| record.in_doubt || it.id != record.primary);
+    let others = view.all_members().filter(|it| record.in_doubt || it.id != record.primary);
     let statuses: Vec<_> = others.map(|member| status_since(member, since)).collect();
     let ends: Vec<_> = statuses.iter().flatten().map(|status| status.received).collect();
-    let missing = statuses.len() - ends.len() + view.departed;
+    let missing = view.unnamed.map(|unnamed| statuses.len() - ends.len() + unnamed);
     KnownLogs { ends, missing, primary_end }.acknowledged_end(holders)
 }
 
@@ -497,7 +511,7 @@
     record: &PrimaryRecord,
     view: &FailoverView<'_>,
 ) -> Option<CandidateStatus> {
-    let primary = view.members.iter().find(|member| member.id == record.primary)?;
+    let primary = view.all_members().find(|member| member.id == record.primary)?;
     status_since(primary, since)
 }
 
@@ -506,16 +520,17 @@
     member.status.filter(|status| status.asked_at >= since)
 }
 
-/// The primary of the newest term, if all members have answered since `since` and none knows a
-/// newer term. A member that is not listed has left, and a failover call of an earlier era has taken
-/// effect by the time that members are asked.
-fn only_primary(members: &[Candidate], since: Time) -> Option<&Candidate> {
-    let statuses = members.iter().map(|member| Some((member, status_since(member, since)?)));
+/// The listed primary of the newest term, if all members that are known have answered since `since` and
+/// none knows a newer term. A failover call of an earlier era has taken effect by the time that members
+/// are asked.
+fn only_primary<'a>(since: Time, view: &FailoverView<'a>) -> Option<&'a Candidate> {
+    let statuses = view.all_members().map(|member| Some((member, status_since(member, since)?)));
     let statuses: Vec<_> = statuses.collect::<Option<_>>()?;
     let newest = statuses.iter().map(|(_, status)| status.term).max()?;
     let mut primaries = statuses.iter().filter(|(_, it)| it.primary && it.term == newest);
     let (member, _) = primaries.next()?;
-    primaries.next().is_none().then_some(member)
+    let is_listed = view.members.iter().any(|it| it.id == member.id);
+    (is_listed && primaries.next().is_none()).then_some(member)
 }
 
 fn confirmation(primary: &Candidate) -> Action {
--- a/crates/succession/src/lib.rs
+++ b/crates/succession/src/lib.rs
@@ -20,6 +20,7 @@
 mod placement;
 mod promotion_calls;
 mod records;
+mod replica_set;
 
 pub use crate::{
     assessment::{Assessment, PrimaryHealth, assess},
@@ -36,4 +37,5 @@
     placement::{CarrierHealth, OrganisationShare, Placement, PlacementCarrier},
     promotion_calls::LATE_CALL_MAX,
     records::{CarrierRecord, EraRecord, LeaseRecord, PartRecord, PrimaryRecord},
+    replica_set::{Replica, ReplicaSet, ReplicaSetAction, ReplicaSetRecord, ReplicaSetView},
 };
--- a/crates/succession/tests/changes.rs
+++ b/crates/succession/tests/changes.rs
@@ -1,6 +1,8 @@
 //! Tests of the state machine of one group's failover: which actions it requests, in which
 //! order, as records and member statuses change.
 
+use std::net::SocketAddr;
+
 use base::{Position, Span, Time};
 use succession::{
     Action, Assessment, Candidate, CandidateStatus, Failover, FailoverView, LATE_CALL_MAX,
@@ -16,17 +18,25 @@
     primary_unused: bool,
     is_outdated: bool,
     sync_replicas: u32,
-    departed: usize,
+    unlisted: Vec<Candidate>,
+    unnamed: Option<usize>,
+    /// When the list of members was last confirmed; `None` if it always is.
+    members_as_of: Option<Time>,
+}
+
+/// A member that has answered no status query.
+fn member(id: &str) -> Candidate {
+    Candidate {
+        id: id.to_owned(),
+        addr: SocketAddr::from(([127, 0, 0, 1], 1)),
+        leaving: false,
+        registers_as_primary: id == "p",
+        status: None,
+    }
 }
 
 impl Case {
     fn new() -> Case {
-        let member = |id: &str| Candidate {
-            id: id.to_owned(),
-            leaving: false,
-            registers_as_primary: id == "p",
-            status: None,
-        };
         Case {
             failover: Failover::default(),
             now: Time::from_micros(1_000_000),
@@ -36,7 +46,9 @@
             primary_unused: true,
             is_outdated: false,
             sync_replicas: 0,
-            departed: 0,
+            unlisted: Vec::new(),
+            unnamed: Some(0),
+            members_as_of: None,
         }
     }
 
@@ -73,9 +85,11 @@
             primary_unused: self.primary_unused,
             may_promote: true,
             members: &self.members,
+            members_as_of: self.members_as_of.unwrap_or(self.now),
             assessment: self.assessment,
             sync_replicas: self.sync_replicas,
-            departed: self.departed,
+            unlisted: &self.unlisted,
+            unnamed: self.unnamed,
         };
         self.failover.tick(self.now, &view)
     }
@@ -88,7 +102,8 @@
             received: Position::new(term, index),
             term,
         };
-        let member = self.members.iter_mut().find(|member| member.id == id);
+        let mut members = self.members.iter_mut().chain(&mut self.unlisted);
+        let member = members.find(|member| member.id == id);
         member.expect("the member is in the group").status = Some(status);
     }
 }
@@ -490,10 +505,10 @@
 /// lapsed.
 #[test]
 fn a_replica_that_is_not_listed_any_more_may_hold_acknowledged_commits() {
-    let mut case = Case { departed: 1, ..Case::changing_synchronous(false) };
-    case.members.pop();
+    let mut case = Case::changing_synchronous(false);
+    case.unlisted.extend(case.members.pop());
     assert_eq!(case.promoted_within(Span::from_millis(5_000), &[("r1", 40)]), None);
-    case.departed = 0;
+    case.unlisted.clear();
     assert!(case.promoted_within(Span::from_millis(1_500), &[("r1", 40)]).is_some());
 }
 
@@ -536,3 +551,52 @@
         Assessment::Replace,
     );
 }
+
+/// Guards against a promotion that is based on the members which a daemon has seen since its start, when
+/// the store has no complete record of them (review/6).
+#[test]
+fn nobody_is_promoted_while_members_that_are_not_known_may_hold_acknowledged_commits() {
+    let limit = Span::from_millis(60_000);
+    let mut case = Case { unnamed: None, ..Case::changing_synchronous(false) };
+    assert_eq!(case.promoted_within(limit, &[("r1", 40), ("r2", 40)]), None);
+    let answers = [("p", 50), ("r1", 40), ("r2", 40)];
+    assert_eq!(case.promoted_within(limit, &answers).as_deref(), Some("p"), "it has all commits");
+    let mut case = Case { unnamed: Some(1), ..Case::changing_synchronous(false) };
+    assert_eq!(case.promoted_within(limit, &[("r1", 40), ("r2", 40)]), None);
+}
+
+/// Guards against a wait for a member that reaches no store, but can be asked.
+#[test]
+fn the_log_of_a_member_that_is_not_listed_counts_but_it_is_not_promoted() {
+    let mut case = Case::changing_synchronous(false);
+    case.unlisted.extend(case.members.pop());
+    let limit = Span::from_millis(5_000);
+    assert_eq!(case.promoted_within(limit, &[("r1", 40), ("r2", 41)]), None);
+    assert_eq!(case.promoted_within(limit, &[("r1", 41), ("r2", 41)]).as_deref(), Some("r1"));
+}
+
+/// Guards against a primary that is confirmed because the member which knows a newer term is not listed.
+#[test]
+fn a_member_that_is_not_listed_can_show_that_a_primary_was_replaced() {
+    let mut case = Case { record: Some(in_doubt("p")), primary_unused: false, ..Case::new() };
+    case.unlisted.extend(case.members.pop());
+    for _ in 0..30 {
+        assert_eq!(written_record(case.tick()), None);
+        case.status("p", true, 2, 50);
+        case.status("r1", false, 2, 41);
+        case.status("r2", true, 3, 42);
+    }
+}
+
+/// Guards against a failover because a list of members that was read earlier lacked the primary.
+#[test]
+fn a_primary_is_gone_only_if_a_later_list_lacks_it() {
+    let mut case = Case::new();
+    case.members.remove(0);
+    case.members_as_of = Some(case.now);
+    for _ in 0..100 {
+        assert_eq!(case.tick(), None);
+    }
+    case.members_as_of = None;
+    assert_eq!(written_record(case.tick()), Some(record("p", true, false)));
+}
