A daemon whose zone has lost its carriers takes a carrier slot over

Cause: a slot of a lost carrier is freed only by the holder of the failover lease, and 21.65 s later; only a carrier may take the lease; and other daemons learn the number of slots from carriers. Once all carriers were lost within 14 s, each of these waited for somebody who was gone.

Change: a daemon that no carrier of its zone has answered for 4 to 5 s, while it ran and the store answered, reads the configuration and takes a slot over. The slot's record keeps the earlier carrier until no list in use can contain it; failovers count it as one that has applied nothing. The slot's part of organisations' limits is recorded for the new user and used once the earlier one certainly cannot use it.

Why it works: any daemon of a zone can act, and acting does not require to know whether a silent carrier has ended. 1,000 schedules with takeovers have no violation; without the earlier carriers the check finds some.

--- a/crates/entry/src/control/carrier_roster.rs
+++ b/crates/entry/src/control/carrier_roster.rs
@@ -1,5 +1,5 @@
 use base::FastMap;
-use succession::{CarrierRecord, CarrierState};
+use succession::{CarrierRecord, CarrierState, ReplacedCarrier};
 
 use crate::control::{coordination::CoordinationState, peers::Peers};
 
@@ -33,21 +33,35 @@
     pub(crate) fn entries(&self) -> Vec<RosterEntry> {
         let gone =
             self.coordination.gone.values().filter(|(record, _)| !record.is_settled(self.store_ms));
+        let slots = self.coordination.gone.values().chain(self.coordination.carriers.values());
+        let replaced = slots.flat_map(|(record, version)| {
+            let unsettled = record.replaced.iter().filter(|it| !it.is_settled(self.store_ms));
+            unsettled.map(|it| (&it.vm, self.replaced(it, *version)))
+        });
         // A daemon that has a new carrier slot is represented by the row of that slot: the
         // later row replaces the earlier in the map.
         let rows = gone.chain(self.coordination.carriers.values());
         let carriers = rows.map(|(record, version)| (&record.vm, self.carrier(record, *version)));
-        carriers.collect::<FastMap<_, _>>().into_values().collect()
+        replaced.chain(carriers).collect::<FastMap<_, _>>().into_values().collect()
     }
 
     fn carrier(&self, record: &CarrierRecord, listed: u64) -> RosterEntry {
-        let shown = match self.peers.peers.get(&record.vm) {
-            _ if record.vm == self.vm => u64::MAX,
+        let settled = record.is_settled(self.store_ms);
+        RosterEntry { listed, settled, shown: self.shown(&record.vm), gone: record.gone }
+    }
+
+    fn replaced(&self, replaced: &ReplacedCarrier, listed: u64) -> RosterEntry {
+        let settled = replaced.is_settled(self.store_ms);
+        RosterEntry { listed, settled, shown: self.shown(&replaced.vm), gone: true }
+    }
+
+    /// Version up to which a daemon is known to apply rows; 0 if it has reported none.
+    fn shown(&self, vm: &str) -> u64 {
+        match self.peers.peers.get(vm) {
+            _ if vm == self.vm => u64::MAX,
             Some(peer) => peer.version,
             None => 0,
-        };
-        let settled = record.is_settled(self.store_ms);
-        RosterEntry { listed, settled, shown, gone: record.gone }
+        }
     }
 }
 
--- a/crates/entry/src/control/carrier_roster/tests.rs
+++ b/crates/entry/src/control/carrier_roster/tests.rs
@@ -18,6 +18,7 @@
         millicores: 250,
         since_ms,
         gone,
+        replaced: Vec::new(),
     }
 }
 
@@ -50,6 +51,19 @@
     assert_eq!(awaited_carrier_count(&rows, 100 + settled_after), 1);
 }
 
+#[test]
+fn failover_waits_for_a_replaced_carrier_until_it_is_settled() {
+    let settled_after = SETTLED_AFTER.as_millis();
+    let successor = record("d3", 100, false).taking_over(&record("d2", 0, false), 100);
+    let successor = successor.expect("a record");
+    let gone = CarrierRecord { gone: true, ..successor.clone() };
+    for row in [successor, gone] {
+        let rows = [("a/0", record("d1", 0, false)), ("a/1", row.clone())];
+        assert_eq!(awaited_carrier_count(&rows, 100 + settled_after - 1), 3, "{row:?}");
+        assert_eq!(awaited_carrier_count(&rows, 100 + settled_after), 1 + usize::from(!row.gone));
+    }
+}
+
 #[test]
 fn carrier_with_a_new_slot_counts_once() {
     let rows = [("a/1", record("d2", 0, true)), ("a/2", record("d2", 10, false))];
--- a/crates/entry/src/control/coordination.rs
+++ b/crates/entry/src/control/coordination.rs
@@ -311,6 +311,11 @@
         }
     }
 
+    /// Record of a carrier slot, whether its carrier has lost it or not, and the version of its row.
+    pub(crate) fn slot(&self, place: &str) -> Option<&(CarrierRecord, u64)> {
+        self.carriers.get(place).or_else(|| self.gone.get(place))
+    }
+
     /// Key of the row that says which carrier uses the part of a carrier slot.
     pub(crate) fn part_key(place: &str) -> String {
         format!("{PART_KEY_PREFIX}{place}")
--- a/crates/entry/src/control/task.rs
+++ b/crates/entry/src/control/task.rs
@@ -144,6 +144,8 @@
     store_lost: bool,
     /// When the store last answered a request.
     store_answered_at: Option<Time>,
+    /// Since when it has answered every read; `None` after a failed one.
+    store_answers_since: Option<Time>,
     /// Newest era of the store that it has answered in; 0 before its first answer.
     store_era: u64,
     /// The store's clock in its latest response, in milliseconds; 0 before the first.
@@ -289,6 +291,7 @@
             members_followed: FollowedSince::default(),
             store_lost: false,
             store_answered_at: None,
+            store_answers_since: None,
             store_era: 0,
             store_ms: 0,
             store_ms_at: Time::default(),
@@ -302,6 +305,7 @@
         match event {
             Event::Rows { table, rows, complete, asked_at } => {
                 self.store_answered_at = Some(clock::now());
+                self.store_answers_since.get_or_insert(clock::now());
                 self.observe_era(table, &rows);
                 if rows.clock_ms >= self.store_ms {
                     (self.store_ms, self.store_ms_at) = (rows.clock_ms, clock::now());
@@ -334,6 +338,9 @@
             }
             Event::PeerRows(snapshots) => self.apply_snapshots(snapshots),
             Event::StoreFailed { table, error } => {
+                if !matches!(error, CallError::HistoryGone) {
+                    self.store_answers_since = None;
+                }
                 if !self.store_lost && !matches!(error, CallError::HistoryGone) {
                     self.store_lost = true;
                     logs::event(
--- a/crates/quota/src/lib.rs
+++ b/crates/quota/src/lib.rs
@@ -25,8 +25,8 @@
 //!   or since the last loan of a predecessor was in use, as each other carrier reports.
 //! - The part of another slot is used only once nobody else can. This is for the caller to ensure
 //!   ([`QuotaShares::set_taken`]).
-//! - A slot changes hands only when its holder has been without a grant for longer than
-//!   [`RECLAIM_DELAY`]. This is for the caller to ensure.
+//! - The share of a slot that changes hands is used only when the earlier holder has been without a grant
+//!   for longer than [`RECLAIM_DELAY`]. This is for the caller to ensure.
 
 mod account;
 mod demand;
--- a/crates/succession/src/carrier_directory.rs
+++ b/crates/succession/src/carrier_directory.rs
@@ -202,6 +202,12 @@
         last.map(|at| now.since(at))
     }
 
+    /// Time since a carrier of `zone` last answered, or was first listed; `None` if none is known.
+    pub fn zone_silence(&self, now: Time, zone: &str) -> Option<Span> {
+        let carriers = self.carriers.values().filter(|carrier| carrier.record.zone == zone);
+        carriers.map(|carrier| carrier.last_answer).max().map(|at| now.since(at))
+    }
+
     /// Whether no carrier of `zone` is known, or not all of them answer.
     fn is_zone_doubted(&self, now: Time, zone: &str) -> bool {
         let own = || self.carriers.values().filter(|carrier| carrier.record.zone == zone);
--- a/crates/succession/src/followed_tables.rs
+++ b/crates/succession/src/followed_tables.rs
@@ -20,7 +20,8 @@
 ///
 /// Carriers follow all tables. The other daemons, nearly all of a large fleet, would cause most of
 /// the calls to the store and need hardly anything from it: they learn from carriers who the
-/// carriers are. They follow tables only to claim a carrier slot, or if no carrier answers.
+/// carriers are. They follow tables only to claim a carrier slot, or if no carrier
+/// answers.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct FollowedTables {
     /// The state table: the failover lease, primaries and carriers.
@@ -42,6 +43,8 @@
     pub running_for: Span,
     /// Whether a carrier is listed in its availability zone.
     pub zone_has_carrier: bool,
+    /// Whether the carriers of its zone have been silent for so long that it may take over a slot.
+    pub zone_is_lost: bool,
     /// Whether it knows of a free carrier slot in its zone; `None` while it does not know the
     /// configuration, on which the number of slots depends.
     pub slot_is_free: Option<bool>,
@@ -62,7 +65,8 @@
                 !view.zone_has_carrier && !leaves_it
             }
         };
-        if may_claim {
+        // Without carriers that answer, only the store tells how many slots there are.
+        if may_claim || view.zone_is_lost {
             return FollowedTables { state: Feed::On, operator: Feed::On, members: Feed::Off };
         }
         let state = if view.carriers_silent { Feed::Slow } else { Feed::Off };
--- a/crates/succession/src/lib.rs
+++ b/crates/succession/src/lib.rs
@@ -36,6 +36,6 @@
     part_claim::PartClaim,
     placement::{CarrierHealth, OrganisationShare, Placement, PlacementCarrier},
     promotion_calls::LATE_CALL_MAX,
-    records::{CarrierRecord, EraRecord, LeaseRecord, PartRecord, PrimaryRecord},
+    records::{CarrierRecord, EraRecord, LeaseRecord, PartRecord, PrimaryRecord, ReplacedCarrier},
     replica_set::{Replica, ReplicaSet, ReplicaSetAction, ReplicaSetRecord, ReplicaSetView},
 };
--- a/crates/succession/src/records.rs
+++ b/crates/succession/src/records.rs
@@ -9,6 +9,9 @@
 const REWRITTEN_AFTER: Span = Span::from_millis(2_300);
 /// Longer than the loans of quota that a carrier has made under its last grant.
 const LOANS_EXPIRED_AFTER: Span = Span::from_millis(2_000);
+/// Limit of the earlier carriers in the record of a slot. More than can lose it within
+/// [`SETTLED_AFTER`], as each is silent for some seconds before.
+const MAX_REPLACED: usize = 8;
 /// Bits of a fencing token that count the holders within an era of the store; the era is above
 /// them.
 const TOKEN_ERA_SHIFT: u32 = 32;
@@ -132,6 +135,19 @@
     /// that a daemon may still use can contain the carrier.
     #[serde(default)]
     pub gone: bool,
+    /// Earlier carriers in the slot that lists of carriers still in use may contain.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub replaced: Vec<ReplacedCarrier>,
+}
+
+/// A carrier whose slot another one has taken over.
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(serde::Deserialize, serde::Serialize)]
+pub struct ReplacedCarrier {
+    /// VM of the daemon.
+    pub vm: String,
+    /// Time at which it lost the slot, in ms of the store's clock.
+    pub since_ms: u64,
 }
 
 /// The stored record of the part of the organisations' limits that a carrier slot owns, if it is not, or
@@ -155,7 +171,27 @@
     }
 }
 
+impl ReplacedCarrier {
+    /// Whether the carrier lost the slot so long before `store_ms`, a time of the store's clock, that no
+    /// list of carriers still in use contains it.
+    pub fn is_settled(&self, store_ms: u64) -> bool {
+        store_ms.saturating_sub(self.since_ms) >= SETTLED_AFTER.as_millis()
+    }
+}
+
 impl CarrierRecord {
+    /// This record as that of the slot's next carrier, which takes the slot over from `previous`. Earlier
+    /// carriers stay in the record until they are settled at `store_ms`, a time of the store's clock, so
+    /// that a failover waits for them. `None` while the slot has changed hands too often.
+    pub fn taking_over(self, previous: &CarrierRecord, store_ms: u64) -> Option<CarrierRecord> {
+        let since_ms = if previous.gone { previous.since_ms } else { self.since_ms };
+        let last = ReplacedCarrier { vm: previous.vm.clone(), since_ms };
+        let replaced = previous.replaced.iter().cloned().chain([last]);
+        let replaced = replaced.filter(|it| it.vm != self.vm && !it.is_settled(store_ms));
+        let replaced: Vec<_> = replaced.collect();
+        (replaced.len() <= MAX_REPLACED).then_some(CarrierRecord { replaced, ..self })
+    }
+
     /// Whether both records describe the same VM with the same zone and addresses. Its cores may
     /// differ: they only affect which carrier is preferred.
     pub fn is_same(&self, other: &CarrierRecord) -> bool {
--- a/crates/succession/tests/carriers.rs
+++ b/crates/succession/tests/carriers.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 
 use base::{Span, Time};
-use succession::{CarrierDirectory, CarrierRecord, CarrierSlots};
+use succession::{CarrierDirectory, CarrierRecord, CarrierSlots, SETTLED_AFTER};
 
 fn record(vm: &str, zone: &str, port: u16) -> CarrierRecord {
     let addr = |port| SocketAddr::from(([127, 0, 0, 1], port));
@@ -15,6 +15,7 @@
         millicores: 250,
         since_ms: 0,
         gone: false,
+        replaced: Vec::new(),
     }
 }
 
@@ -178,3 +179,45 @@
     assert_eq!(ports(&carriers, start), [21]);
     assert_eq!(carriers.answering_addrs(start).len(), 2);
 }
+
+/// Guards against a takeover by a daemon that has just started, and against one that is given up because
+/// carriers of other zones answer.
+#[test]
+fn the_silence_of_a_zone_begins_when_its_carriers_become_known() {
+    let records = [record("1", "a", 10), record("2", "a", 20), record("3", "b", 30)];
+    let start = Time::from_micros(50_000_000);
+    let at = |millis| start + Span::from_millis(millis);
+    let mut carriers = CarrierDirectory::default();
+    assert_eq!(carriers.zone_silence(start, "a"), None);
+    carriers.set(start, records.iter());
+    assert_eq!(carriers.zone_silence(start, "a"), Some(Span::ZERO));
+    carriers.record_answer(at(500), "2", false);
+    carriers.record_answer(at(4_000), "3", true);
+    assert_eq!(carriers.zone_silence(at(4_000), "a"), Some(Span::from_millis(3_500)));
+    carriers.resume(at(5_000));
+    assert_eq!(carriers.zone_silence(at(5_000), "a"), Some(Span::ZERO), "nobody could be heard");
+}
+
+/// Guards against forgetting carriers that may still use primaries, however often a slot changes hands.
+#[test]
+fn earlier_carriers_of_a_slot_are_recorded_until_they_are_settled() {
+    let at = |vm: &str, since_ms| CarrierRecord { since_ms, ..record(vm, "a", 10) };
+    let replaced = |record: &CarrierRecord| -> Vec<(String, u64)> {
+        record.replaced.iter().map(|it| (it.vm.clone(), it.since_ms)).collect()
+    };
+    let second = at("2", 5_000).taking_over(&at("1", 0), 5_000).expect("a record");
+    assert_eq!(replaced(&second), [("1".to_owned(), 5_000)]);
+    let gone = CarrierRecord { since_ms: 9_000, gone: true, ..second };
+    let third = at("3", 12_000).taking_over(&gone, 12_000).expect("a record");
+    assert_eq!(replaced(&third), [("1".to_owned(), 5_000), ("2".to_owned(), 9_000)]);
+    let back = at("1", 13_000).taking_over(&third, 13_000).expect("a record");
+    assert_eq!(replaced(&back), [("2".to_owned(), 9_000), ("3".to_owned(), 13_000)]);
+    let settled_ms = 13_000 + SETTLED_AFTER.as_millis();
+    let last = at("4", settled_ms).taking_over(&back, settled_ms).expect("a record");
+    assert_eq!(replaced(&last), [("1".to_owned(), settled_ms)]);
+    let mut slot = at("0", 0);
+    for number in 1..=8 {
+        slot = at(&number.to_string(), number).taking_over(&slot, number).expect("a record");
+    }
+    assert!(at("9", 9).taking_over(&slot, 9).is_none(), "a record with room for no more");
+}
--- a/crates/succession/tests/followed_tables.rs
+++ b/crates/succession/tests/followed_tables.rs
@@ -8,6 +8,7 @@
     is_small: true,
     running_for: Span::from_millis(60_000),
     zone_has_carrier: true,
+    zone_is_lost: false,
     slot_is_free: Some(false),
     carriers_silent: false,
 };
@@ -53,3 +54,12 @@
     let waited = FollowerView { running_for: Span::from_millis(5_000), ..first };
     check(waited, Feed::On, Feed::On, Feed::Off);
 }
+
+/// Guards against VMs that never learn how many slots there are, since all carriers that could tell
+/// them are lost (review/9).
+#[test]
+fn a_daemon_whose_zone_has_lost_its_carriers_asks_the_store() {
+    let lost = FollowerView { zone_is_lost: true, carriers_silent: true, ..RELAY };
+    check(lost, Feed::On, Feed::On, Feed::Off);
+    check(FollowerView { slot_is_free: None, ..lost }, Feed::On, Feed::On, Feed::Off);
+}
--- a/crates/succession/tests/grants.rs
+++ b/crates/succession/tests/grants.rs
@@ -32,6 +32,8 @@
     NewestList,
     /// The lease holder takes the list of a store that has lost writes for complete.
     LostRowsIgnored,
+    /// The lease holder does not wait for carriers whose slots others have taken over.
+    ReplacedIgnored,
 }
 
 struct World {
@@ -43,6 +45,8 @@
     store_version: u64,
     /// Version of the row that lists each daemon as a carrier; `None` if it is none.
     listed: [Option<u64>; ALL],
+    /// Version of the row by which another daemon has taken over the slot of each daemon.
+    replaced: [Option<u64>; ALL],
     /// Daemons whose rows the store has lost.
     lost: [bool; ALL],
     store_cut: [bool; ALL],
@@ -61,6 +65,7 @@
             version: [0; ALL],
             store_version: INITIAL_VERSION,
             listed: std::array::from_fn(|own| (own < DAEMONS).then_some(INITIAL_VERSION)),
+            replaced: [None; ALL],
             lost: [false; ALL],
             store_cut: [false; ALL],
             cut: [[false; ALL]; ALL],
@@ -134,7 +139,8 @@
     /// Whether a daemon is a carrier by the rows of a version.
     fn is_listed(&self, it: usize, version: u64) -> bool {
         let is_lost = self.lost[it] && version >= ERA;
-        !is_lost && self.listed[it].is_some_and(|listed| listed <= version)
+        let is_replaced = self.replaced[it].is_some_and(|replaced| replaced <= version);
+        !is_lost && !is_replaced && self.listed[it].is_some_and(|listed| listed <= version)
     }
 
     /// The store comes back from a copy without the rows of the carriers that have joined.
@@ -153,6 +159,12 @@
         }
     }
 
+    /// Lets one more daemon take over the slot of a carrier.
+    fn take_over(&mut self, carrier: usize) {
+        self.join();
+        self.replaced[carrier] = Some(self.store_version);
+    }
+
     /// Runs a failover after `prepare`. Returns a daemon that could still use the old primary
     /// when the failover proceeded.
     fn fail_over(&mut self, prepare: impl Fn(&mut World)) -> Option<usize> {
@@ -207,6 +219,10 @@
     }
 
     fn carrier_state(&self, it: usize, new: u64) -> Option<CarrierState> {
+        if let Some(listed) = self.replaced[it].filter(|_| self.mistake != Mistake::ReplacedIgnored)
+        {
+            return Some(CarrierState { applied: false, listed, settled: false, shown: 0 });
+        }
         let listed = self.listed[it].filter(|_| self.is_listed(it, new))?;
         Some(CarrierState {
             applied: self.shown[it] >= new,
@@ -268,6 +284,31 @@
     }
 }
 
+/// Cuts some carriers off from the store and from each of the others at random, then lets daemons that
+/// hear none of them take over their slots.
+fn cut_and_take_over(world: &mut World) {
+    for _ in 0..20 {
+        world.step(false);
+    }
+    for own in 1..DAEMONS {
+        world.store_cut[own] = world.rng.random_bool(0.8);
+    }
+    for carrier in 1..DAEMONS {
+        if world.store_cut[carrier] {
+            world.take_over(carrier);
+        }
+        for _ in 0..world.rng.random_range(0..8) {
+            world.step(false);
+        }
+    }
+}
+
+fn violations_after_takeovers(mistake: Mistake) -> usize {
+    (0..1_000)
+        .filter(|seed| World::new(*seed, mistake).fail_over(cut_and_take_over).is_some())
+        .count()
+}
+
 fn violations_after_lost_writes(mistake: Mistake) -> usize {
     (0..500)
         .filter(|seed| World::new(*seed, mistake).fail_over(join_and_lose_rows).is_some())
@@ -304,6 +345,18 @@
     assert_eq!(violations_after_lost_writes(Mistake::None), 0);
 }
 
+/// Guards against a failover that does not wait for a carrier which is only cut off, since a new VM has
+/// its slot.
+#[test]
+fn no_daemon_uses_the_old_primary_when_slots_were_taken_over() {
+    assert_eq!(violations_after_takeovers(Mistake::None), 0);
+}
+
+#[test]
+fn the_check_detects_that_replaced_carriers_are_ignored() {
+    assert!(violations_after_takeovers(Mistake::ReplacedIgnored) > 0);
+}
+
 #[test]
 fn the_check_detects_that_lost_rows_are_ignored() {
     assert!(violations_after_lost_writes(Mistake::LostRowsIgnored) > 0);
