Stand-in: a replica that received nothing catches up only with a primary that runs

Cause: when a replica was to receive commits again, the stand-in gave it the log of the primary of the newest term, also if that was stopped, and an empty log if there was none after a step-down. A member keeps its log.

Change: it catches up once a primary runs. a_replica_that_received_nothing_catches_up_once_a_primary_runs.

--- a/crates/standins/src/lines/group.rs
+++ b/crates/standins/src/lines/group.rs
@@ -51,6 +51,8 @@
     stopped: bool,
     /// Whether it receives nothing from the primary.
     deaf: bool,
+    /// Whether it has received nothing for a while and has not caught up since.
+    behind: bool,
 }
 
 impl Group {
@@ -80,13 +82,26 @@
         }
     }
 
-    /// Sets whether a replica receives nothing from the primary. Afterwards it catches up at once.
+    /// Sets whether a replica receives nothing from the primary. Afterwards it catches up as soon as a
+    /// primary runs.
     pub fn set_deaf(&mut self, id: &str, deaf: bool) {
-        let (log, term) = (self.commits().to_vec(), self.term);
         let Some(member) = self.members.get_mut(id) else { return };
         member.deaf = deaf;
-        if !deaf && !member.is_primary {
+        member.behind |= deaf;
+        self.catch_up();
+    }
+
+    /// Lets the replicas that have received nothing for a while follow the primary, if it runs.
+    fn catch_up(&mut self) {
+        let is_due = |member: &Member| member.behind && !member.deaf && !member.is_primary;
+        let primary = self.members.get(self.primary());
+        if !self.members.values().any(is_due) || primary.is_none_or(|primary| primary.stopped) {
+            return;
+        }
+        let (log, term) = (self.commits().to_vec(), self.term);
+        for member in self.members.values_mut().filter(|member| is_due(member)) {
             member.follow(term, &log);
+            member.behind = false;
         }
     }
 
@@ -180,6 +195,7 @@
         writes: Vec<(String, String)>,
     ) -> Result<(), Refusal> {
         self.check(id, None, true)?;
+        self.catch_up();
         let (term, index) = (self.term(id), self.received_position(id).index + 1);
         let position = Position::new(term, index);
         let commit = Commit { position, committed_at: now, request: request.to_owned(), writes };
@@ -238,6 +254,7 @@
     /// Advances the model to `now`: replicas apply the commits whose lag has passed, and replaced
     /// primaries are demoted after their delay.
     pub fn advance(&mut self, now: Time) {
+        self.catch_up();
         let (lag, partitioned) = (self.lag, self.partitioned);
         let is_due = |at: Time| !partitioned && now.since(at) >= DEMOTION_DELAY;
         if self.members.values().any(|member| member.replaced_at.is_some_and(is_due)) {
--- a/crates/standins/src/lines/tests.rs
+++ b/crates/standins/src/lines/tests.rs
@@ -75,6 +75,33 @@
     assert_eq!(group.received_position("a"), Position::new(2, 1));
 }
 
+/// Guards against a replica whose log is emptied, or filled by a member that is stopped, when it receives
+/// commits again.
+#[test]
+fn a_replica_that_received_nothing_catches_up_once_a_primary_runs() {
+    let mut group = group();
+    assert_eq!(write(&mut group, 0, "b", "kept"), Err(Refusal::ReadOnly));
+    assert_eq!(write(&mut group, 0, "a", "kept"), Ok(()));
+    group.set_deaf("b", true);
+    assert_eq!(write(&mut group, 1, "a", "missed"), Ok(()));
+    group.set_stopped("a", true);
+    group.set_deaf("b", false);
+    group.advance(at(500));
+    assert_eq!(
+        group.received_position("b"),
+        Position::new(1, 1),
+        "nobody is there to receive from"
+    );
+    group.set_stopped("a", false);
+    group.advance(at(600));
+    assert_eq!(group.received_position("b"), Position::new(1, 2));
+    group.set_deaf("b", true);
+    group.step_down("a", 2);
+    group.set_deaf("b", false);
+    group.advance(at(700));
+    assert_eq!(group.received_position("b"), Position::new(1, 2), "there is no primary");
+}
+
 #[test]
 fn a_stopped_member_runs_nothing_until_it_is_started_again() {
     let mut group = group();
