A record of members of an earlier era lets the furthest of all members be promoted

No daemon had run through a loss of the store's writes, and all three members were replicas after a step-down.

Cause: without a complete record the number of members that may hold commits was unknown, so that even the answers of all members that an earlier record names sufficed for nothing.

Change: with a record of an earlier era, one member more than it names counts as missing: one that joined, confirmed commits and disappeared within the lost writes. Without any record it stays unknown.

--- a/crates/entry/src/control/coordinator.rs
+++ b/crates/entry/src/control/coordinator.rs
@@ -132,7 +132,7 @@
         let unlisted = unlisted.collect();
         let unnamed = match view.sync_replicas {
             0 => Some(0),
-            _ => record.filter(|_| replica_set.is_complete).map(|it| it.omitted as usize),
+            _ => record.map(|record| record.unnamed(replica_set.is_complete)),
         };
         GroupState { view, listed, unlisted, unnamed, replica_set }
     }
--- a/crates/succession/src/replica_set.rs
+++ b/crates/succession/src/replica_set.rs
@@ -6,6 +6,9 @@
 
 /// Minimum time between two status queries by which a record is completed.
 const QUERY_INTERVAL: Span = Span::from_millis(500);
+/// Number of members that are assumed to have joined, confirmed commits and disappeared again within the
+/// writes that a store has lost.
+const MAX_LOST_MEMBERS: usize = 1;
 /// Limit of the members in a record, which keeps its row far below the size that the store accepts.
 const MAX_MEMBERS: usize = 64;
 
@@ -99,6 +102,11 @@
         self.members.iter().filter(move |(id, _)| listed.iter().all(|it| it.id != **id))
     }
 
+    /// Number of members that the record does not name. `is_complete` is whether it is complete.
+    pub fn unnamed(&self, is_complete: bool) -> usize {
+        self.omitted as usize + if is_complete { 0 } else { MAX_LOST_MEMBERS }
+    }
+
     /// Removes unlisted members that the record has no room for. They are still counted.
     fn limit(&mut self, listed: &[Candidate]) {
         let excess = self.members.len().saturating_sub(MAX_MEMBERS);
--- a/crates/succession/tests/changes.rs
+++ b/crates/succession/tests/changes.rs
@@ -600,3 +600,17 @@
     case.members_as_of = None;
     assert_eq!(written_record(case.tick()), Some(record("p", true, false)));
 }
+
+/// Guards against a group that stays without a primary for good: the store came back from an older copy,
+/// and all members are replicas (soak seed 11).
+#[test]
+fn the_furthest_of_all_members_is_promoted_if_the_record_of_members_is_of_an_earlier_era() {
+    let doubtful = || {
+        let record = Some(in_doubt("p"));
+        Case { record, sync_replicas: 1, unnamed: Some(1), ..Case::new() }
+    };
+    let limit = Span::from_millis(5_000);
+    let answers = [("p", 90), ("r1", 40), ("r2", 80)];
+    assert_eq!(doubtful().promoted_within(limit, &answers).as_deref(), Some("p"));
+    assert_eq!(doubtful().promoted_within(limit, &answers[..2]), None);
+}
--- a/crates/succession/tests/replica_sets.rs
+++ b/crates/succession/tests/replica_sets.rs
@@ -179,5 +179,11 @@
     let record = case.record.expect("a record");
     assert_eq!(record.members.len(), 64);
     assert_eq!(record.omitted, 39);
+    assert_eq!(record.unnamed(true), 39);
+    assert_eq!(
+        record.unnamed(false),
+        40,
+        "one may have joined and gone in the writes that are lost"
+    );
     assert!(["p", "r1", "r2"].iter().all(|id| record.members.contains_key(*id)));
 }
