Soak: daemons that are replaced for good, and members that are away while all daemons restart

In seeds that leave 2 when divided by 5 all daemons are replaced by others with new names and addresses; with sync_replicas 1 the holders of the latest commits stop while all daemons are killed. Both are drawn last: the other faults of a seed stay as they are.

--- a/crates/soak/src/caller.rs
+++ b/crates/soak/src/caller.rs
@@ -1,7 +1,6 @@
 use std::{
     cell::RefCell,
     collections::BTreeMap,
-    net::SocketAddr,
     rc::Rc,
     time::{Duration, Instant},
 };
@@ -11,6 +10,7 @@
 use tokio::{sync::watch, time};
 
 use crate::{
+    daemon_addrs::DaemonAddrs,
     history::{History, WriteOutcome},
     line_conn::{LineConn, Reply},
     organisations,
@@ -26,7 +26,7 @@
 /// randomly chosen daemons.
 pub(crate) struct Caller {
     pub(crate) name: String,
-    pub(crate) daemons: Vec<SocketAddr>,
+    pub(crate) daemons: DaemonAddrs,
     pub(crate) groups: usize,
     pub(crate) history: Rc<RefCell<History>>,
     pub(crate) rng: ChaCha8Rng,
@@ -60,7 +60,7 @@
     pub(crate) fn new(
         number: usize,
         seed: u64,
-        daemons: Vec<SocketAddr>,
+        daemons: DaemonAddrs,
         groups: usize,
         history: Rc<RefCell<History>>,
     ) -> Caller {
@@ -96,7 +96,7 @@
             }
             self.is_denied = false;
             let database = format!("{database}{group}");
-            let opened = LineConn::open(self.daemons[daemon], &database, &self.key).await;
+            let opened = LineConn::open(self.daemons.get(daemon), &database, &self.key).await;
             self.is_denied = matches!(&opened, Err(Some(line)) if line.starts_with("ERROR NOAUTH"));
             if let Ok(conn) = opened {
                 let mut session =
--- a/crates/soak/src/config_prober.rs
+++ b/crates/soak/src/config_prober.rs
@@ -1,6 +1,5 @@
 use std::{
     cell::RefCell,
-    net::SocketAddr,
     rc::Rc,
     time::{Duration, Instant},
 };
@@ -10,6 +9,7 @@
 
 use crate::{
     config_history::Treatment,
+    daemon_addrs::DaemonAddrs,
     history::History,
     line_conn::{LineConn, Reply},
 };
@@ -22,7 +22,7 @@
 /// Asks every daemon for the extra database all the time, also while the daemon stands still, and
 /// checks that no answer follows from an outdated configuration.
 pub(crate) struct ConfigProber {
-    pub(crate) daemons: Vec<SocketAddr>,
+    pub(crate) daemons: DaemonAddrs,
     pub(crate) database: &'static str,
     pub(crate) history: Rc<RefCell<History>>,
 }
@@ -44,7 +44,7 @@
     async fn probe_daemon(&self, daemon: usize) {
         for number in 0_u64.. {
             let sent_at = Instant::now();
-            let opened = LineConn::open(self.daemons[daemon], self.database, NO_KEY).await;
+            let opened = LineConn::open(self.daemons.get(daemon), self.database, NO_KEY).await;
             match opened {
                 Err(Some(answer)) if answer.starts_with("ERROR NODB") => {
                     self.check(daemon, Treatment::Denied, sent_at);
--- a/crates/soak/src/deployment.rs
+++ b/crates/soak/src/deployment.rs
@@ -9,8 +9,10 @@
 
 use rustix::process::Signal;
 use standins::lines::{Options as StandInOptions, RunStatement, TestCmd};
+use tokio::time;
 
 use crate::{
+    daemon_addrs::DaemonAddrs,
     fault::Fault,
     history::History,
     key_history::REVOKE_LIMIT,
@@ -25,6 +27,8 @@
 
 /// Replication lag while no fault changes it.
 const DEFAULT_LAG_MS: u64 = 30;
+/// How long a replica has received nothing when the members with the latest commits stop.
+const DEAF_BEFORE_ABSENCE: Duration = Duration::from_millis(200);
 /// Delay before the soak program restarts an exited daemon, as the platform would.
 const RESTART_DELAY: Duration = Duration::from_millis(200);
 
@@ -36,7 +40,10 @@
     _standin: Process,
     platform: SocketAddr,
     http: reqwest::Client,
-    pub(crate) daemons: Vec<Daemon>,
+    daemons: Vec<Daemon>,
+    /// Addresses of the daemons' listeners for callers.
+    pub(crate) addrs: DaemonAddrs,
+    options: Options,
     members: Vec<(String, FaultProxy)>,
     groups: usize,
     /// Whether the newest configuration contains the extra database.
@@ -51,6 +58,8 @@
 /// A daemon's process, its files, and its links to the platform's store and failover API.
 pub(crate) struct Daemon {
     process: Option<Process>,
+    /// Number of daemons that it has replaced.
+    generation: u8,
     program: PathBuf,
     settings: PathBuf,
     log: PathBuf,
@@ -89,6 +98,8 @@
             platform,
             http,
             daemons: Vec::new(),
+            addrs: DaemonAddrs::new(Vec::new()),
+            options: options.clone(),
             members: Vec::new(),
             groups: options.groups,
             has_extra_database: false,
@@ -106,9 +117,11 @@
             deployment.configure_organisations(history).await?;
         }
         for index in 0..options.daemons {
-            let daemon = Daemon::new(options, index, platform).await?;
+            let daemon = Daemon::new(options, index, 0, platform).await?;
             deployment.daemons.push(daemon);
         }
+        let addrs = deployment.daemons.iter().map(|daemon| daemon.callers).collect();
+        deployment.addrs = DaemonAddrs::new(addrs);
         Ok(deployment)
     }
 
@@ -268,6 +281,8 @@
             Fault::Deaf(member) => {
                 self.steer(&TestCmd::Deaf(self.members[member].0.clone(), true)).await?;
             }
+            Fault::Replace(daemon) => self.replace(daemon).await?,
+            Fault::AbsentMembers(group) => self.lose_holders(group).await?,
         }
         Ok(())
     }
@@ -311,6 +326,12 @@
                     self.steer(&TestCmd::Restart(id.clone())).await?;
                 }
             }
+            Fault::AbsentMembers(group) => {
+                for (id, _) in &self.members[group * 3..group * 3 + 3] {
+                    self.steer(&TestCmd::Restart(id.clone())).await?;
+                    self.steer(&TestCmd::Deaf(id.clone(), false)).await?;
+                }
+            }
             Fault::StoreDown => {
                 self.is_store_down = false;
                 self.steer(&TestCmd::StoreDown(false)).await?;
@@ -323,6 +344,7 @@
             }
             Fault::Lag(_) => self.steer(&TestCmd::LagMs(DEFAULT_LAG_MS)).await?,
             Fault::Terminate(_)
+            | Fault::Replace(_)
             | Fault::Hangup(_)
             | Fault::Forget
             | Fault::Configure
@@ -369,6 +391,37 @@
             .await
     }
 
+    /// Kills a daemon for good and starts another one with the same role.
+    async fn replace(&mut self, index: usize) -> Result<(), SoakError> {
+        self.daemons[index].kill()?;
+        let generation = self.daemons[index].generation + 1;
+        let daemon = Daemon::new(&self.options, index, generation, self.platform).await?;
+        self.addrs.set(index, daemon.callers);
+        self.daemons[index] = daemon;
+        Ok(())
+    }
+
+    /// Stops the members that hold a group's latest commits, while another one receives nothing, and
+    /// kills all daemons, which start again without having seen them.
+    async fn lose_holders(&mut self, group: usize) -> Result<(), SoakError> {
+        let primaries: Vec<String> = self.query("primaries").await?;
+        let ids = self.members[group * 3..group * 3 + 3].iter().map(|(id, _)| id.clone());
+        let (holders, replicas): (Vec<_>, Vec<_>) = ids.partition(|id| *id == primaries[group]);
+        let mut replicas = replicas.into_iter();
+        if let Some(deaf) = replicas.next() {
+            self.steer(&TestCmd::Deaf(deaf, true)).await?;
+        }
+        time::sleep(DEAF_BEFORE_ABSENCE).await;
+        for id in holders.into_iter().chain(replicas) {
+            self.steer(&TestCmd::Crash(id)).await?;
+        }
+        for daemon in &mut self.daemons {
+            daemon.kill()?;
+            daemon.end_kill();
+        }
+        Ok(())
+    }
+
     fn signal(&mut self, daemon_mask: u64, signal: Signal) -> Result<(), SoakError> {
         for (_, daemon) in
             self.daemons.iter_mut().enumerate().filter(|(it, _)| contains(daemon_mask, *it))
@@ -413,11 +466,14 @@
     async fn new(
         options: &Options,
         index: usize,
+        generation: u8,
         platform: SocketAddr,
     ) -> Result<Daemon, SoakError> {
         // Each daemon has an IP address of its own, because all use the same metrics port.
         let [high, low] = ((std::process::id() % 16_000) as u16).to_be_bytes();
-        let ip = IpAddr::V4(Ipv4Addr::new(127, 64 + high, low, index as u8 + 1));
+        // A replaced daemon may not have ended yet.
+        let high = 64 * (1 + generation % 2) + high;
+        let ip = IpAddr::V4(Ipv4Addr::new(127, high, low, index as u8 + 1));
         // All are bound before the first is closed, so that no port is handed out twice. The peer
         // port is used over TCP and UDP.
         let [callers, readiness, peers] = [0; 3].map(|port| TcpListener::bind((ip, port)));
@@ -427,7 +483,10 @@
         let (callers, readiness) = (callers.local_addr()?, readiness.local_addr()?);
         let store_link = FaultProxy::start(platform, DaemonProcesses::default()).await?;
         let failover_link = FaultProxy::start(platform, DaemonProcesses::default()).await?;
-        let name = format!("d{index}");
+        let name = match generation {
+            0 => format!("d{index}"),
+            _ => format!("d{index}-{generation}"),
+        };
         let (invariants, limits, bounds) = match options.has_organisations() {
             true => ("invariants = [\"tenants\"]\n", KEY_LIMITS, key_bounds()),
             false => ("", "", String::new()),
@@ -446,6 +505,7 @@
         fs::write(&settings, text)?;
         Ok(Daemon {
             process: None,
+            generation,
             program: options.program_dir.join("corianderwharf-entry"),
             settings,
             log: options.logs.join(format!("{name}.log")),
--- a/crates/soak/src/fault.rs
+++ b/crates/soak/src/fault.rs
@@ -35,6 +35,11 @@
 /// revoked meanwhile must not be used to their end.
 const OUTAGE_INTERVAL_MS: (u64, u64) = (4_000, 12_000);
 const OUTAGE_MS: std::ops::Range<u64> = 6_000..9_000;
+/// Range of the time between two replacements of daemons, in ms. All are replaced within the time after
+/// which a silent carrier loses its slot.
+const REPLACE_INTERVAL_MS: std::ops::Range<u64> = 300..1_800;
+/// Range of the time between two absences of the members that hold a group's latest commits, in ms.
+const ABSENCE_INTERVAL_MS: (u64, u64) = (6_000, 14_000);
 /// Range of the time between two losses of the store's latest writes, in ms.
 const LOSS_INTERVAL_MS: (u64, u64) = (2_500, 8_000);
 /// Longest time after a loss until the operator and the members have written again, in ms: the users
@@ -100,6 +105,11 @@
     RotateKey(usize),
     /// Changes the configuration: lowers or raises the limit of an organisation to this rate.
     SetLimit(usize, u32),
+    /// Replaces a daemon for good by one with another name and address.
+    Replace(usize),
+    /// A replica of a group receives nothing; its primary and the other replica stop, and all daemons
+    /// are killed and start again at once. The members are back when the fault ends.
+    AbsentMembers(usize),
 }
 
 /// A fault with its start, as time since the start of the run, and its duration.
@@ -152,9 +162,29 @@
             }));
         }
     }
+    // Drawn last, so that the other faults of a seed stay as they are.
+    if options.replaces_daemons() {
+        faults.extend(replacements(options, rng));
+    }
+    if options.sync_replicas() > 0 && !options.is_planned_only() {
+        let absence =
+            |rng: &mut ChaCha8Rng| Fault::AbsentMembers(rng.random_range(0..options.groups));
+        faults.extend(series(options, rng, ABSENCE_INTERVAL_MS, absence));
+    }
     faults
 }
 
+/// Replaces every daemon once, one after the other, from a random time in the first half of the run on.
+fn replacements(options: &Options, rng: &mut ChaCha8Rng) -> Vec<ScheduledFault> {
+    let mut at_ms = rng.random_range(0..=options.seconds * 500);
+    let replacements = (0..options.daemons).map(|daemon| {
+        at_ms += rng.random_range(REPLACE_INTERVAL_MS);
+        let at = Duration::from_millis(at_ms);
+        ScheduledFault { at, duration: Duration::ZERO, fault: Fault::Replace(daemon) }
+    });
+    replacements.collect()
+}
+
 /// Faults of one kind, with random intervals between their starts.
 fn series(
     options: &Options,
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -10,6 +10,7 @@
 mod check;
 mod config_history;
 mod config_prober;
+mod daemon_addrs;
 mod deployment;
 mod fault;
 mod history;
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -29,7 +29,8 @@
   -V, --version      show the version
 
 Seeds divisible by four run only planned operations, during which no request may be
-cut; in seeds divisible by three, callers belong to no organisation. The programs under test are taken from this program's directory. Exit codes:
+cut; in seeds divisible by three, callers belong to no organisation; in other seeds that leave
+two when divided by five, all daemons are replaced. The programs under test are taken from this program's directory. Exit codes:
 0 all guarantees were kept, 1 a violation or a run that could not be completed,
 2 usage error.
 ";
--- a/crates/soak/src/misbehaving_client.rs
+++ b/crates/soak/src/misbehaving_client.rs
@@ -1,10 +1,10 @@
-use std::{cell::RefCell, net::SocketAddr, rc::Rc, time::Duration};
+use std::{cell::RefCell, rc::Rc, time::Duration};
 
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use tokio::{io::AsyncWriteExt, net::TcpStream, sync::watch, time};
 
-use crate::{history::History, organisations};
+use crate::{daemon_addrs::DaemonAddrs, history::History, organisations};
 
 /// Statements that a client sends without reading an answer.
 const PIPELINED: u64 = 200;
@@ -37,7 +37,7 @@
     pub(crate) number: usize,
     pub(crate) seed: u64,
     pub(crate) misbehaviour: Misbehaviour,
-    pub(crate) daemons: Vec<SocketAddr>,
+    pub(crate) daemons: DaemonAddrs,
     pub(crate) database: String,
     pub(crate) history: Rc<RefCell<History>>,
 }
@@ -50,7 +50,7 @@
         rng.set_stream(u64::MAX / 2 - self.number as u64);
         let mut connections = 0_u64;
         while !*stop.borrow() {
-            let daemon = self.daemons[rng.random_range(0..self.daemons.len())];
+            let daemon = self.daemons.get(rng.random_range(0..self.daemons.len()));
             let until = time::Instant::now() + Duration::from_millis(rng.random_range(HOLD_MS));
             connections += 1;
             let text = self.text(connections);
--- a/crates/soak/src/moving_caller.rs
+++ b/crates/soak/src/moving_caller.rs
@@ -1,10 +1,11 @@
-use std::{cell::RefCell, net::SocketAddr, rc::Rc, time::Duration};
+use std::{cell::RefCell, rc::Rc, time::Duration};
 
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use tokio::{sync::watch, time};
 
 use crate::{
+    daemon_addrs::DaemonAddrs,
     history::{History, WriteOutcome},
     line_conn::{LineConn, Reply},
     organisations,
@@ -19,7 +20,7 @@
 pub(crate) struct MovingCaller {
     pub(crate) number: usize,
     pub(crate) seed: u64,
-    pub(crate) daemons: Vec<SocketAddr>,
+    pub(crate) daemons: DaemonAddrs,
     pub(crate) database: &'static str,
     pub(crate) history: Rc<RefCell<History>>,
 }
@@ -32,7 +33,7 @@
         rng.set_stream(u64::MAX - self.number as u64);
         let mut transactions = 0_u64;
         while !*stop.borrow() {
-            let daemon = self.daemons[rng.random_range(0..self.daemons.len())];
+            let daemon = self.daemons.get(rng.random_range(0..self.daemons.len()));
             let key = self.history.borrow().keys.newest(&organisations::name(self.number));
             if let Ok(mut conn) = LineConn::open(daemon, self.database, &key).await {
                 transactions += 1;
--- a/crates/soak/src/options.rs
+++ b/crates/soak/src/options.rs
@@ -35,6 +35,11 @@
         !self.seed.is_multiple_of(3)
     }
 
+    /// Whether all daemons are replaced for good by others.
+    pub(crate) fn replaces_daemons(&self) -> bool {
+        self.seed % 5 == 2 && !self.is_planned_only()
+    }
+
     /// Whether the run has only planned operations and no failures. No request may be
     /// interrupted then.
     pub(crate) fn is_planned_only(&self) -> bool {
--- a/crates/soak/src/proxy.rs
+++ b/crates/soak/src/proxy.rs
@@ -139,7 +139,8 @@
 fn daemon_index(first: &[u8]) -> Option<usize> {
     let line = String::from_utf8_lossy(first);
     let node_name = line.strip_prefix("STARTUP ").and_then(|rest| rest.split([' ', '\r']).nth(1));
-    node_name.and_then(|node_name| node_name.strip_prefix('d')?.parse().ok())
+    let index = node_name.and_then(|node_name| node_name.strip_prefix('d')?.split('-').next());
+    index.and_then(|index| index.parse().ok())
 }
 
 /// Copies bytes in one direction until either side closes.
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -17,6 +17,7 @@
     caller::Caller,
     check,
     config_prober::ConfigProber,
+    daemon_addrs::DaemonAddrs,
     deployment::Deployment,
     fault::{self, Fault},
     history::History,
@@ -101,7 +102,7 @@
 async fn run_seed(options: &Options) -> Result<Outcome, SoakError> {
     let history = Rc::new(RefCell::new(History::default()));
     let mut deployment = Deployment::start(options, &history).await?;
-    let addrs: Vec<_> = deployment.daemons.iter().map(|daemon| daemon.callers).collect();
+    let addrs = deployment.addrs.clone();
     let startup =
         wait_until_serving(&mut deployment, &history, &addrs, options.groups, STARTUP_TIMEOUT)
             .await?;
@@ -271,7 +272,7 @@
 async fn wait_until_serving(
     deployment: &mut Deployment,
     history: &RefCell<History>,
-    addrs: &[SocketAddr],
+    addrs: &DaemonAddrs,
     groups: usize,
     limit: Duration,
 ) -> Result<Option<Duration>, SoakError> {
@@ -283,7 +284,7 @@
     let probes = future::join_all(places.map(|(daemon, group)| {
         let (unserved, key) = (&unserved, &key);
         async move {
-            while let Err(answer) = probe(addrs[daemon], group, key).await {
+            while let Err(answer) = probe(addrs.get(daemon), group, key).await {
                 unserved.borrow_mut().insert((daemon, group), answer);
                 time::sleep(POLL_INTERVAL).await;
             }
@@ -323,16 +324,17 @@
 /// `deadline`.
 async fn check_configuration(
     deployment: &Deployment,
-    addrs: &[SocketAddr],
+    addrs: &DaemonAddrs,
     history: &RefCell<History>,
     deadline: Instant,
 ) {
     let (database, exists) = deployment.extra_database();
-    for (daemon, addr) in addrs.iter().enumerate() {
-        let mut opened = LineConn::open(*addr, database, "").await;
+    for daemon in 0..addrs.len() {
+        let addr = addrs.get(daemon);
+        let mut opened = LineConn::open(addr, database, "").await;
         while opened.as_ref().is_err_and(is_busy) && Instant::now() < deadline {
             time::sleep(POLL_INTERVAL).await;
-            opened = LineConn::open(*addr, database, "").await;
+            opened = LineConn::open(addr, database, "").await;
         }
         let as_expected = match &opened {
             Ok(_) => exists,
