A carrier is asked by the store before another daemon takes its slot

A VM that is cut off from all carriers, but not from the store, would have displaced a carrier that serves others.

Change: the daemon first doubts the carrier in the record of its slot. A carrier that the store reaches writes the record again within its next attempt to register; only one that has not done so for 1.5 s is replaced.

--- a/crates/entry/src/control/carrier_roster/tests.rs
+++ b/crates/entry/src/control/carrier_roster/tests.rs
@@ -18,6 +18,7 @@
         millicores: 250,
         since_ms,
         gone,
+        doubted: false,
         replaced: Vec::new(),
     }
 }
--- a/crates/entry/src/control/coordinator/tests.rs
+++ b/crates/entry/src/control/coordinator/tests.rs
@@ -31,6 +31,7 @@
         millicores: 250,
         since_ms: 0,
         gone: false,
+        doubted: false,
         replaced: Vec::new(),
     };
     let lease = LeaseRecord { holder: "d2".to_owned(), run: 2, token: 1, ..LeaseRecord::default() };
--- a/crates/entry/src/control/task.rs
+++ b/crates/entry/src/control/task.rs
@@ -130,6 +130,11 @@
     last_row_sync: Option<Time>,
     /// Since when a carrier slot has been free in this availability zone.
     vacant_since: Option<Time>,
+    /// Slots of this zone whose carriers are doubted: the version of each row, and when this daemon
+    /// first read it while its zone was lost.
+    doubts: FastMap<String, (u64, Time)>,
+    /// When this daemon last doubted a carrier.
+    last_doubt: Option<Time>,
     carrier_directory: CarrierDirectory,
     /// Session addresses of the carriers whose last report named some load.
     loaded_carriers: FastSet<SocketAddr>,
@@ -282,6 +287,8 @@
             behind_since: None,
             last_row_sync: None,
             vacant_since: None,
+            doubts: FastMap::default(),
+            last_doubt: None,
             carrier_directory: CarrierDirectory::default(),
             loaded_carriers: FastSet::default(),
             carries: false,
--- a/crates/entry/src/control/task/carrier_role.rs
+++ b/crates/entry/src/control/task/carrier_role.rs
@@ -51,6 +51,11 @@
 const ZONE_LOST_SPREAD: Span = Span::from_millis(1_000);
 /// How long the store must have been answering before: carriers that have waited for it answer first.
 const STORE_RETURN_DELAY: Span = Span::from_millis(1_000);
+/// Time that a carrier has to answer a doubt by the store: to read it, wait for its next attempt to
+/// register ([`STORE_POLL_INTERVAL`]), and write.
+const DOUBT_TIMEOUT: Span = Span::from_millis(1_500);
+/// Minimum interval between two doubts of one daemon. A carrier that it alone cannot hear answers each.
+const DOUBT_INTERVAL: Span = Span::from_millis(5_000);
 
 /// A claim of a carrier slot.
 struct SlotClaim {
@@ -67,7 +72,7 @@
     /// Claims a carrier slot in this availability zone, or updates this daemon's record. Small VMs
     /// wait, so that large ones can claim the slot first.
     pub(super) fn register_carrier(&mut self, now: Time) {
-        let Some(config) = &self.config else { return };
+        let Some(config) = self.config.clone() else { return };
         let recently = self.last_registration.is_some_and(|at| now.since(at) < STORE_POLL_INTERVAL);
         let may_claim = self.carries || self.knows_slots(now);
         if !self.coordination.loaded
@@ -83,7 +88,7 @@
             Some((place, known, version)) => {
                 let mut record = CarrierRecord { replaced: known.replaced.clone(), ..own };
                 if known.is_same(&record) {
-                    if known.millicores == record.millicores {
+                    if known.millicores == record.millicores && !known.doubted {
                         return;
                     }
                     // The lists in use show this carrier, whatever its record says of its cores.
@@ -92,7 +97,7 @@
                 SlotClaim { place: place.to_owned(), version, record, part_version: None }
             }
             None => {
-                let Some(claim) = self.claimable_slot(now, config, &own) else {
+                let Some(claim) = self.claimable_slot(now, &config, &own) else {
                     self.vacant_since = None;
                     return;
                 };
@@ -105,7 +110,8 @@
             }
         };
         self.last_registration = Some(now);
-        if now.since(self.store_ms_at) > STORE_CLOCK_MAX_AGE {
+        let is_dated_now = claim.record.since_ms == self.store_ms;
+        if is_dated_now && now.since(self.store_ms_at) > STORE_CLOCK_MAX_AGE {
             // The claim follows when the store has answered with its clock and the current rows.
             self.last_registration = None;
             let recently =
@@ -115,6 +121,9 @@
             }
             return;
         }
+        if claim.record.doubted {
+            self.last_doubt = Some(now);
+        }
         self.write_claim(now, &claim);
     }
 
@@ -128,12 +137,18 @@
             millicores: (self.settings.cores * 1_000.0).round() as u32,
             since_ms: self.store_ms,
             gone: false,
+            doubted: false,
             replaced: Vec::new(),
         }
     }
 
     /// A slot of this zone that is free, or else one whose carrier this daemon may replace.
-    fn claimable_slot(&self, now: Time, config: &Config, own: &CarrierRecord) -> Option<SlotClaim> {
+    fn claimable_slot(
+        &mut self,
+        now: Time,
+        config: &Config,
+        own: &CarrierRecord,
+    ) -> Option<SlotClaim> {
         let (coordination, store_ms) = (&self.coordination, self.store_ms(now));
         let places: Vec<_> = self
             .carrier_slots(config)
@@ -148,33 +163,57 @@
             };
             Some(SlotClaim { place: place.clone(), version, record, part_version: None })
         });
-        free.or_else(|| {
-            let mut places = places.iter().filter(|_| self.is_zone_lost(now));
-            places.find_map(|place| self.takeover(place, own, store_ms))
-        })
+        if free.is_some() || !self.is_zone_lost(now) {
+            self.doubts.clear();
+            return free;
+        }
+        places.iter().find_map(|place| self.takeover(now, place, own))
     }
 
-    /// The claim by which this daemon replaces the carrier of a slot. Lists that contain that carrier
-    /// may still be in use, and it may use its part of the organisations' limits until its grant ends.
-    fn takeover(&self, place: &str, own: &CarrierRecord, store_ms: u64) -> Option<SlotClaim> {
+    /// The claim by which this daemon replaces the carrier of a slot, or by which it doubts that the
+    /// carrier runs: one that the store still reaches keeps its slot, whoever else cannot hear it.
+    ///
+    /// Lists that contain the replaced carrier may still be in use, and it may use its part of the
+    /// organisations' limits until its grant ends.
+    fn takeover(&mut self, now: Time, place: &str, own: &CarrierRecord) -> Option<SlotClaim> {
+        let store_ms = self.store_ms(now);
         let (previous, version) = self.coordination.slot(place)?;
+        let claim = |record| SlotClaim {
+            place: place.to_owned(),
+            version: *version,
+            record,
+            part_version: None,
+        };
+        if !previous.gone && !previous.doubted {
+            if self.last_doubt.is_some_and(|at| now.since(at) < DOUBT_INTERVAL) {
+                return None;
+            }
+            return Some(claim(CarrierRecord { doubted: true, ..previous.clone() }));
+        }
+        let (doubted_version, since) =
+            self.doubts.entry(place.to_owned()).or_insert((*version, now));
+        if doubted_version != version {
+            (*doubted_version, *since) = (*version, now);
+        }
+        if !previous.gone && now.since(*since) < DOUBT_TIMEOUT {
+            return None;
+        }
         let record = own.clone().taking_over(previous, store_ms)?;
         let part_version = match self.coordination.parts.get(place) {
             _ if !self.has_organisations() => None,
             None => Some(0),
             Some((part, version)) => (part.user == previous.vm).then_some(*version),
         };
-        Some(SlotClaim { place: place.to_owned(), version: *version, record, part_version })
+        Some(SlotClaim { part_version, ..claim(record) })
     }
 
     fn write_claim(&self, now: Time, claim: &SlotClaim) {
         let SlotClaim { place, version, record, part_version } = claim;
-        if !record.replaced.is_empty() {
-            logs::event(
-                "taking over carrier slot",
-                &serde_json::json!({"slot": place, "replaced": record.replaced}),
-            );
-        }
+        logs::event(
+            "writing carrier slot",
+            &serde_json::json!({"slot": place, "vm": record.vm, "doubted": record.doubted,
+                "replaced": record.replaced}),
+        );
         let key = CoordinationState::carrier_key(place);
         let row = StoreKey { table: STATE_TABLE, key: &key };
         let change = self.coordination.transaction(self.store_ms(now));
--- a/crates/succession/src/records.rs
+++ b/crates/succession/src/records.rs
@@ -135,6 +135,10 @@
     /// that a daemon may still use can contain the carrier.
     #[serde(default)]
     pub gone: bool,
+    /// Whether a daemon of the zone hears no carrier and asks this one, by the store, whether it runs. A
+    /// carrier that reads this writes its record again.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub doubted: bool,
     /// Earlier carriers in the slot that lists of carriers still in use may contain.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub replaced: Vec<ReplacedCarrier>,
--- a/crates/succession/tests/carriers.rs
+++ b/crates/succession/tests/carriers.rs
@@ -15,6 +15,7 @@
         millicores: 250,
         since_ms: 0,
         gone: false,
+        doubted: false,
         replaced: Vec::new(),
     }
 }
--- a/crates/succession/tests/placement.rs
+++ b/crates/succession/tests/placement.rs
@@ -221,6 +221,7 @@
         millicores: 500,
         since_ms: 0,
         gone: false,
+        doubted: false,
         replaced: Vec::new(),
     }
 }
