Claims of carrier slots, and what the coordinator knows of a group, in files of their own

Change: control/group_state.rs (GroupView, GroupState) and control/task/slot_claims.rs (claims, doubts, takeovers). Code is moved, nothing else; visibilities follow the move.

Clippy passes; the library tests of entry, absent_members (5 of 5) and replaced_carriers (6 of 6) pass, release build.

--- a/crates/entry/src/control/mod.rs
+++ b/crates/entry/src/control/mod.rs
@@ -14,6 +14,7 @@
 mod event;
 mod feeds;
 mod followed_since;
+mod group_state;
 mod heartbeat;
 mod http;
 mod member_calls;
--- a/crates/entry/src/control/task.rs
+++ b/crates/entry/src/control/task.rs
@@ -21,10 +21,11 @@
     clock,
     control::{
         coordination::{CoordinationState, STATE_TABLE},
-        coordinator::{FailoverCoordinator, GroupView},
+        coordinator::FailoverCoordinator,
         event::Event,
         feeds,
         followed_since::FollowedSince,
+        group_state::GroupView,
         http,
         peers::Peers,
         pending_orders::PendingOrders,
@@ -41,6 +42,7 @@
 mod heartbeats;
 mod parts;
 mod rows;
+mod slot_claims;
 
 /// Interval of the decisions that depend on time.
 const TICK_INTERVAL: Duration = Duration::from_millis(50);
