--- a/review/standin-3/standin.py
+++ b/review/standin-3/standin.py
@@ -189,7 +189,8 @@
         self.state, self.sequence, self.born = "ready", 0, int(time.time() * 1000)
         self.work_s = 0.01
         self.slots = asyncio.Semaphore(5)
-        self.runs = []  # (at, request id, text, answered with success)
+        self.runs = []  # (at, request id, text) of the statements that have run
+        self.started = {}  # when the work on each request began
         group.members.append(self)
 
     async def start(self):
@@ -271,6 +272,7 @@
         if word == "EXECUTE":
             rest = rest.partition(" ")[2]
         async with self.slots:
+            self.started[request] = now()
             await asyncio.sleep(self.work_s)
         writes = verb == "STORE" or (word == "COMMIT" and tx)
         if writes and not self.leads:
