--- a/review/standin-3/standin.py
+++ b/review/standin-3/standin.py
@@ -194,7 +194,7 @@
         group.members.append(self)
 
     async def start(self):
-        self.server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
+        self.server = await asyncio.start_server(self.serve, "127.0.0.1", 0, limit=2**21)
         self.addr = "127.0.0.1:%d" % self.server.sockets[0].getsockname()[1]
         self.write_entry()
 
