--- a/review/standin-3/standin.py
+++ b/review/standin-3/standin.py
@@ -551,13 +551,16 @@
 
     async def body():
         deployment = Deployment(case)
+        task = asyncio.current_task()
+        for number in (signal.SIGINT, signal.SIGTERM):
+            asyncio.get_running_loop().add_signal_handler(number, task.cancel)
         try:
             await deployment.start()
             async with asyncio.timeout(110):
                 held = await run(deployment)
             deployment.record.say("the rule held" if held else "the rule was broken")
             return 0 if held else 1
-        except Exception as error:  # The case could not run.
+        except (Exception, asyncio.CancelledError) as error:  # The case could not run.
             deployment.record.say(f"could not run: {type(error).__name__}: {error}")
             return 2
         finally:
